Add the design, the schema and the interfaces at the edges

Cause: the repository was empty; later parts need agreed interfaces so that they can be written side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+BIN := $(CURDIR)/bin
+TOOLS := $(BIN)/tools
+PROTOS := $(sort $(shell find proto -name '*.proto'))
+PACKAGES := ./...
+
+.PHONY: build test fmt fmt-check lint generate generate-check model demo demo-kill capacity ci
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+test:
+	go test $(PACKAGES)
+
+fmt:
+	gofmt -w cmd internal pkg
+
+fmt-check:
+	@out=$$(gofmt -l cmd internal pkg); if [ -n "$$out" ]; then echo "run make fmt; not formatted:"; echo "$$out"; exit 1; fi
+
+$(TOOLS)/staticcheck $(TOOLS)/protoc-gen-go $(TOOLS)/protoc-gen-connect-go: tools/go.mod
+	cd tools && go build -o $(TOOLS)/ honnef.co/go/tools/cmd/staticcheck google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
+
+lint: $(TOOLS)/staticcheck
+	go vet $(PACKAGES)
+	$(TOOLS)/staticcheck $$(go list $(PACKAGES) | grep -v /internal/gen/)
+
+generate: $(TOOLS)/protoc-gen-go $(TOOLS)/protoc-gen-connect-go
+	rm -rf internal/gen && mkdir -p internal/gen
+	PATH=$(TOOLS):$$PATH protoc -I proto --go_out=internal/gen --go_opt=paths=source_relative --connect-go_out=internal/gen --connect-go_opt=paths=source_relative $(PROTOS)
+
+generate-check: generate
+	@git diff --exit-code --stat -- internal/gen || { echo "run make generate and commit the result"; exit 1; }
+
+model:
+	spec/check.sh
+
+ci: test fmt-check lint generate-check model
--- /dev/null
+++ b/internal/dcpeer/peer.go
@@ -0,0 +1,20 @@
+// Package dcpeer is the edge to the other hosts of the tier.
+package dcpeer
+
+import (
+	"context"
+
+	peerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/peer/v1"
+)
+
+// Peer calls one other host. The address is that host's peer address. A lost
+// reply is an error; every method may be repeated without further effect.
+type Peer interface {
+	Exchange(ctx context.Context, address string, request *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error)
+	FetchConfig(ctx context.Context, address string, request *peerv1.FetchConfigRequest) (*peerv1.FetchConfigResponse, error)
+	Claim(ctx context.Context, address string, request *peerv1.ClaimRequest) (*peerv1.ClaimResponse, error)
+	Record(ctx context.Context, address string, request *peerv1.RecordRequest) (*peerv1.RecordResponse, error)
+	Lookup(ctx context.Context, address string, request *peerv1.LookupRequest) (*peerv1.LookupResponse, error)
+	PushSuspicion(ctx context.Context, address string, request *peerv1.PushSuspicionRequest) (*peerv1.PushSuspicionResponse, error)
+	FetchCounters(ctx context.Context, address string, request *peerv1.FetchCountersRequest) (*peerv1.FetchCountersResponse, error)
+}
