Implement the shard map table

A pin has to be complete for one index version and one epoch of each service, or a query run on it claims coverage it does not have. Totals are agreed by plurality and a tie leaves the epoch out: taking the larger total would let one server block every epoch, taking the smaller one would let a partial answer pass as complete. Evidence from an answer outlives reports requested before it, since status lags behind answers.

--- a/internal/dcshardmap/table.go
+++ b/internal/dcshardmap/table.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	upstreamv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/upstream/v1"
 
 	"github.com/dandelioncart/dandelioncart/internal/dcid"
@@ -21,38 +23,180 @@
 	Servers []Server
 }
 
+type serviceState struct {
+	name    dcid.ServiceName
+	servers []*serverState
+}
+
 // Table is the shard map of one service group.
-type Table struct{}
+type Table struct {
+	services []serviceState
+	servers  map[dcid.ServerAddr]*serverState
+	unusable map[dcid.ServerAddr]struct{}
+	// pin is the current pin unless stale is set.
+	pin       *Pin
+	conflicts []Conflict
+	stale     bool
+}
 
 // New returns an empty table.
-func New() *Table { return &Table{} }
+func New() *Table {
+	return &Table{
+		servers:  make(map[dcid.ServerAddr]*serverState),
+		unusable: make(map[dcid.ServerAddr]struct{}),
+	}
+}
 
 // Configure sets the services and servers of the group. What is known of
-// servers that stay is kept.
-func (t *Table) Configure(services []Service) {}
+// servers that stay is kept. A server listed twice counts for the first
+// service only.
+func (t *Table) Configure(services []Service) {
+	earlier := t.servers
+	t.servers = make(map[dcid.ServerAddr]*serverState)
+	t.services = make([]serviceState, 0, len(services))
+	for _, service := range services {
+		state := serviceState{name: service.Name}
+		for _, server := range service.Servers {
+			if _, ok := t.servers[server.Address]; ok {
+				continue
+			}
+			kept := earlier[server.Address]
+			if kept == nil {
+				kept = &serverState{}
+			}
+			kept.Server = server
+			t.servers[server.Address] = kept
+			state.servers = append(state.servers, kept)
+		}
+		t.services = append(t.services, state)
+	}
+	t.stale = true
+}
 
 // SetUsable tells whether a server may receive new work. Servers are usable
 // until told otherwise.
-func (t *Table) SetUsable(server dcid.ServerAddr, usable bool) {}
+func (t *Table) SetUsable(server dcid.ServerAddr, usable bool) {
+	_, unusable := t.unusable[server]
+	if usable != unusable {
+		return
+	}
+	if usable {
+		delete(t.unusable, server)
+	} else {
+		t.unusable[server] = struct{}{}
+	}
+	t.stale = true
+}
 
 // Report replaces the claims of a server. asked is when the status was
 // requested: evidence from a later time stays in force.
-func (t *Table) Report(server dcid.ServerAddr, status *upstreamv1.Status, asked time.Time) error {
+func (t *Table) Report(server dcid.ServerAddr, status *upstreamv1.Status, asked time.Time) (err error) {
+	defer func() { err = eris.Wrapf(err, "report of server %s", server) }()
+	state := t.servers[server]
+	if state == nil {
+		return ErrServerUnknown
+	}
+	if asked.Before(state.asked) {
+		return ErrReportStale
+	}
+	parsed, err := parseStatus(status)
+	if err != nil {
+		return err
+	}
+	state.accept(parsed, asked)
+	t.stale = true
 	return nil
 }
 
 // VersionGone records that a server answered 409 for a shard at a version and
-// epoch.
+// epoch. The claim returns with a report requested after now.
 func (t *Table) VersionGone(server dcid.ServerAddr, shard dcid.ShardID, version dcid.IndexVersion, epoch dcid.MapEpoch, now time.Time) {
+	state := t.servers[server]
+	if state == nil {
+		return
+	}
+	if state.deny(claim{epoch: epoch, shard: shard, version: version}, now) {
+		t.stale = true
+	}
 }
 
-// ShardGone records that a server answered 410 for a shard of an epoch.
+// ShardGone records that a server answered 410 for a shard of an epoch, which
+// removes every version of it.
 func (t *Table) ShardGone(server dcid.ServerAddr, shard dcid.ShardID, epoch dcid.MapEpoch, now time.Time) {
+	state := t.servers[server]
+	if state == nil {
+		return
+	}
+	for held := range state.held {
+		if held.epoch != epoch || held.shard != shard {
+			continue
+		}
+		if state.deny(held, now) {
+			t.stale = true
+		}
+	}
 }
 
-// Pin returns the newest complete snapshot, else the one with the most held
-// shards, or nil when the shards of a service are not known.
-func (t *Table) Pin() *Pin { return nil }
+// Pin returns the newest complete snapshot: the newest index version and, for
+// each service, the newest epoch in which a usable server holds every shard.
+// When no version is complete it returns the one with the most held shards,
+// the newest among equals. It returns nil when the shards of a service are not
+// known.
+func (t *Table) Pin() *Pin {
+	t.refresh()
+	return t.pin
+}
 
-// PinNewer returns a complete pin that is newer than the given one, or nil.
-func (t *Table) PinNewer(than *Pin) *Pin { return nil }
+// PinNewer returns the current pin when it is newer than the given one and
+// holds no fewer shards in proportion, or nil.
+func (t *Table) PinNewer(than *Pin) *Pin {
+	t.refresh()
+	if t.pin == nil || than == nil || !newer(t.pin, than) {
+		return nil
+	}
+	if t.pin.Held*than.Total < than.Held*t.pin.Total {
+		return nil
+	}
+	return t.pin
+}
+
+// Conflicts returns the epochs that cannot be pinned because reports
+// contradict each other.
+func (t *Table) Conflicts() []Conflict {
+	t.refresh()
+	return t.conflicts
+}
+
+func (t *Table) refresh() {
+	if !t.stale {
+		return
+	}
+	t.stale = false
+	t.pin, t.conflicts = build(t)
+}
+
+// usable reports whether a server may receive new work.
+func (t *Table) usable(server *serverState) bool {
+	if _, unusable := t.unusable[server.Address]; unusable {
+		return false
+	}
+	return server.reported && server.state != stateDraining
+}
+
+// newer reports whether pin a has a later version than b, or the same version
+// and a later epoch of some service.
+func newer(a, b *Pin) bool {
+	if a.Version != b.Version {
+		return a.Version > b.Version
+	}
+	epochs := make(map[dcid.ServiceName]dcid.MapEpoch, len(b.Services))
+	for _, service := range b.Services {
+		epochs[service.Service] = service.Epoch
+	}
+	for _, service := range a.Services {
+		if service.Epoch > epochs[service.Service] {
+			return true
+		}
+	}
+	return false
+}
