--- /dev/null
+++ b/internal/dcquery/pick.go
@@ -0,0 +1,109 @@
+package dcquery
+
+import (
+	"time"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+)
+
+// Penalties order the replicas of a shard; the lowest sum is preferred.
+const (
+	coldPenalty       = 1
+	sameDomainPenalty = 2
+	sheddingPenalty   = 4
+)
+
+// pick chooses the replica for the next transmission of a shard: one that was
+// not tried, in a failure domain without a transmission of this shard if there
+// is one, warm rather than cold. Among equals it takes the less loaded of two
+// random ones. Extra transmissions never go to a server that sheds load.
+func (q *Query) pick(sub *subquery, why cause, now time.Time) (replica int, ok bool) {
+	var best [maxReplicas]uint8
+	count, lowest := 0, 0
+	for i := range min(len(sub.shard.Replicas), maxReplicas) {
+		if sub.tried&(1<<i) != 0 {
+			continue
+		}
+		penalty, usable := q.penalty(sub, i, why, now)
+		if !usable {
+			continue
+		}
+		if count == 0 || penalty < lowest {
+			count, lowest = 0, penalty
+		}
+		if penalty == lowest {
+			best[count] = uint8(i)
+			count++
+		}
+	}
+	if count == 0 {
+		return 0, false
+	}
+	return q.lessLoaded(sub, best[:count]), true
+}
+
+func (q *Query) penalty(sub *subquery, replica int, why cause, now time.Time) (penalty int, usable bool) {
+	candidate := &sub.shard.Replicas[replica]
+	if !q.options.Servers.Usable(candidate.Server) || q.canary.crashedBy(candidate.Server) {
+		return 0, false
+	}
+	if q.options.Budget.Shedding(candidate.Server, now) {
+		if why == hedged || why == retried {
+			return 0, false
+		}
+		penalty += sheddingPenalty
+	}
+	if q.triedDomain(sub, candidate.Domain) {
+		penalty += sameDomainPenalty
+	}
+	if candidate.Cold {
+		penalty += coldPenalty
+	}
+	return penalty, true
+}
+
+// triedDomain reports whether the shard was sent to a server of the domain.
+func (q *Query) triedDomain(sub *subquery, domain dcid.FailureDomain) bool {
+	if sub.tried == 0 {
+		return false
+	}
+	for i := range min(len(sub.shard.Replicas), maxReplicas) {
+		if sub.tried&(1<<i) != 0 && sub.shard.Replicas[i].Domain == domain {
+			return true
+		}
+	}
+	return false
+}
+
+// lessLoaded takes the less loaded of two random replicas (power of two
+// choices).
+func (q *Query) lessLoaded(sub *subquery, replicas []uint8) int {
+	if len(replicas) == 1 {
+		return int(replicas[0])
+	}
+	a := q.options.Rand.IntN(len(replicas))
+	b := q.options.Rand.IntN(len(replicas) - 1)
+	if b >= a {
+		b++
+	}
+	one, other := int(replicas[a]), int(replicas[b])
+	if q.inFlight(sub, other) < q.inFlight(sub, one) {
+		return other
+	}
+	return one
+}
+
+func (q *Query) inFlight(sub *subquery, replica int) int {
+	return q.options.Servers.InFlight(sub.shard.Replicas[replica].Server)
+}
+
+// anyShedding reports whether a replica of the shard sheds load. Waiting on
+// another one is then a sign of overload, which a hedge would add to.
+func (q *Query) anyShedding(sub *subquery, now time.Time) bool {
+	for i := range sub.shard.Replicas {
+		if q.options.Budget.Shedding(sub.shard.Replicas[i].Server, now) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/dcquery/subquery.go
@@ -0,0 +1,225 @@
+package dcquery
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	"github.com/dandelioncart/dandelioncart/internal/dcshardmap"
+	"github.com/dandelioncart/dandelioncart/internal/dcupstream"
+)
+
+const (
+	// spareActions is the room for actions of one event besides first sends.
+	spareActions = 8
+	// spareTransmissions is the share of first sub-queries, one in this
+	// number, for which room for an extra one is reserved.
+	spareTransmissions = 16
+	// maxReplicas is the number of replicas of a shard that are considered.
+	maxReplicas = 64
+)
+
+// state is the state of one shard in a query.
+type state uint8
+
+const (
+	waiting state = iota
+	running
+	covered
+	missing
+)
+
+// subquery is one shard of the pinned map.
+type subquery struct {
+	service *dcshardmap.ServicePin
+	shard   *dcshardmap.Shard
+	state   state
+	crashed bool
+	hedges  uint8
+	// live counts the transmissions without a result.
+	live    int
+	attempt dcid.Attempt
+	// last is the newest transmission; the older ones follow by previous.
+	last Transmission
+	// tried has a bit for each replica that was sent to.
+	tried uint64
+	code  dcreason.Code
+	body  []byte
+	// choice is the replica of the first transmission.
+	choice uint8
+	// hedgeAt is the key in the heap and valid while queued is set. due is the
+	// time of the next hedge, which a retry moves to after hedgeAt.
+	hedgeAt time.Time
+	due     time.Time
+	queued  bool
+}
+
+// cause tells why a transmission was sent.
+type cause uint8
+
+const (
+	first cause = iota
+	hedged
+	retried
+	moved
+)
+
+// transmission is one sub-query sent to one server.
+type transmission struct {
+	sub      *subquery
+	previous Transmission
+	attempt  dcid.Attempt
+	replica  uint8
+	cause    cause
+	live     bool
+	at       time.Time
+}
+
+func (t *transmission) server() *dcshardmap.Replica {
+	return &t.sub.shard.Replicas[t.replica]
+}
+
+// load sets up the sub-queries of a pin.
+func (q *Query) load(pin *dcshardmap.Pin) {
+	q.pin = pin
+	q.subs = make([]subquery, 0, pin.Total)
+	if q.sent == nil {
+		q.sent = make([]transmission, 0, pin.Total+pin.Total/spareTransmissions+spareActions)
+	}
+	q.timed = make(hedgeHeap, 0, pin.Total)
+	for i := range pin.Services {
+		service := &pin.Services[i]
+		for j := range service.Shards {
+			q.subs = append(q.subs, subquery{service: service, shard: &service.Shards[j]})
+		}
+	}
+	q.open, q.covered, q.missing, q.bytes = len(q.subs), 0, 0, 0
+}
+
+// scatter sends the first sub-query of every shard, or of one shard only
+// while a canary is needed. Nothing is sent when the shards without a server
+// already break the coverage rule, so that the refusal is proof of not-run.
+func (q *Query) scatter(now time.Time) {
+	q.choose(now)
+	if q.hopeless() {
+		q.finish(dcreason.CoverageIncomplete)
+		return
+	}
+	if q.canary.active {
+		q.sendCanary(now)
+		return
+	}
+	delay, hedging := q.options.Budget.HedgeDelay(1, now)
+	for i := range q.subs {
+		sub := &q.subs[i]
+		if sub.state != waiting {
+			continue
+		}
+		q.send(sub, int(sub.choice), first, now)
+		if hedging {
+			q.schedule(sub, now.Add(delay))
+		}
+	}
+	q.finishIfDone()
+}
+
+// choose picks the replica of the first transmission of each shard that waits.
+func (q *Query) choose(now time.Time) {
+	for i := range q.subs {
+		sub := &q.subs[i]
+		if sub.state != waiting {
+			continue
+		}
+		replica, ok := q.pick(sub, first, now)
+		if !ok {
+			q.drop(sub, dcreason.NoServer)
+			continue
+		}
+		sub.choice = uint8(replica)
+	}
+}
+
+func (q *Query) send(sub *subquery, replica int, why cause, now time.Time) {
+	sub.state = running
+	sub.live++
+	sub.attempt++
+	sub.tried |= 1 << replica
+	q.sent = append(q.sent, transmission{
+		sub:      sub,
+		previous: sub.last,
+		attempt:  sub.attempt,
+		replica:  uint8(replica),
+		cause:    why,
+		live:     true,
+		at:       now,
+	})
+	sub.last = Transmission(len(q.sent))
+	q.stats.Sent++
+	action := q.action(Send, sub.last)
+	action.Time = q.options.Deadline
+	q.emit(action)
+}
+
+// action returns an action about a transmission of the current pin.
+func (q *Query) action(kind Kind, id Transmission) Action {
+	sent := &q.sent[id-1]
+	return Action{
+		Kind:         kind,
+		Transmission: id,
+		Server:       sent.server().Server,
+		Label:        q.label(sent),
+	}
+}
+
+// label is what a response to the transmission must repeat.
+func (q *Query) label(sent *transmission) dcupstream.Label {
+	return dcupstream.Label{
+		Request: q.options.Request,
+		Service: sent.sub.service.Service,
+		Shard:   sent.sub.shard.ID,
+		Version: q.pin.Version,
+		Epoch:   sent.sub.service.Epoch,
+		Attempt: sent.attempt,
+	}
+}
+
+// schedule sets the time of the next hedge of a shard. The canary is not
+// hedged: if the request crashes servers, a hedge would crash a second one.
+func (q *Query) schedule(sub *subquery, at time.Time) {
+	if q.canary.active || sub.hedges >= maxHedges || !at.Before(q.options.Deadline) {
+		return
+	}
+	sub.due = at
+	if sub.queued {
+		return
+	}
+	sub.hedgeAt = at
+	sub.queued = true
+	heap.Push(&q.timed, sub)
+}
+
+// hedgeHeap orders sub-queries by the time of their next hedge. Those that
+// have ended stay until they reach the front.
+type hedgeHeap []*subquery
+
+func (h hedgeHeap) Len() int           { return len(h) }
+func (h hedgeHeap) Less(i, j int) bool { return h[i].hedgeAt.Before(h[j].hedgeAt) }
+func (h hedgeHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *hedgeHeap) Push(x any) { *h = append(*h, x.(*subquery)) }
+
+// Pop implements heap.Interface.
+func (h *hedgeHeap) Pop() any {
+	last := len(*h) - 1
+	sub := (*h)[last]
+	*h = (*h)[:last]
+	return sub
+}
+
+func (h *hedgeHeap) popFirst() *subquery {
+	sub := heap.Pop(h).(*subquery)
+	sub.queued = false
+	return sub
+}
