Implement the admission queue of a service group

Start-time fair queueing decides between departments. Tags belong to departments, not requests, so that cancelled and pushed-out requests leave without renumbering the rest.

--- /dev/null
+++ b/internal/dcadmission/queue.go
@@ -0,0 +1,268 @@
+// Package dcadmission is the queue of one service group in one host: weighted
+// fair queueing between departments, an adaptive concurrency limit, and
+// refusal before start.
+package dcadmission
+
+import (
+	"container/heap"
+	"container/list"
+	"time"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+)
+
+// Ticket identifies an admitted or waiting request.
+type Ticket uint64
+
+// DefaultWeight is the weight of a department that the configuration does not
+// name.
+const DefaultWeight = 1.0
+
+// Config holds the rules of a queue.
+type Config struct {
+	// Weights of the departments.
+	Weights map[dcid.Department]float64
+	// MaxQueue is the number of requests that wait before new ones are refused.
+	MaxQueue int
+	// Floor and Ceiling bound the concurrency limit, which starts at Floor.
+	Floor, Ceiling int
+}
+
+// Decision is the end of a request's wait.
+type Decision struct {
+	Ticket Ticket
+	// Code is OK when the request starts; otherwise it did not run.
+	Code dcreason.Code
+}
+
+// Sample is what a finished request observed.
+type Sample struct {
+	// QueueTime is the mean time that its sub-queries waited in upstreams. When
+	// it is negative, unknown, the latency above the minimum counts instead.
+	QueueTime time.Duration
+	// Overloaded reports that an upstream shed a sub-query.
+	Overloaded bool
+	// Failed reports that the request ended without a useful answer. Its
+	// queue time is then taken as unknown.
+	Failed bool
+}
+
+// Queue is the queue of one service group in one host. Decisions that a method
+// returns are valid until the next call.
+type Queue struct {
+	config    Config
+	fair      fairQueue
+	limiter   limiter
+	service   estimate
+	newest    Ticket
+	entries   map[Ticket]*entry
+	deadlines deadlineHeap
+	running   int
+	decisions []Decision
+}
+
+// entry is one request that waits or runs.
+type entry struct {
+	ticket   Ticket
+	flow     *flow
+	deadline time.Time
+	// element is the place in the queue of the flow, nil once started.
+	element *list.Element
+	// position is the index in the deadline heap while the request waits.
+	position int
+	started  time.Time
+}
+
+// New returns an empty queue.
+func New(config Config) *Queue {
+	q := &Queue{
+		fair:    newFairQueue(),
+		entries: make(map[Ticket]*entry),
+	}
+	q.Configure(config)
+	return q
+}
+
+// Configure changes the rules; requests that wait or run stay.
+func (q *Queue) Configure(config Config) {
+	config.Floor = max(config.Floor, 1)
+	config.Ceiling = max(config.Ceiling, config.Floor)
+	q.config = config
+	q.fair.configure(config.Weights)
+	q.limiter.configure(config.Floor, config.Ceiling)
+}
+
+// Arrive adds a request. The decisions may concern it and others; without one
+// about it, it waits.
+func (q *Queue) Arrive(department dcid.Department, deadline, now time.Time) (Ticket, []Decision) {
+	q.begin(now)
+	q.newest++
+	ticket := q.newest
+	if !now.Before(deadline) {
+		q.decide(ticket, dcreason.DeadlineExceeded)
+		return ticket, q.decisions
+	}
+	arrived := &entry{ticket: ticket, flow: q.fair.flow(department), deadline: deadline}
+	q.enqueue(arrived)
+	q.dispatch(now)
+	if arrived.element == nil {
+		return ticket, q.decisions
+	}
+	if q.expectedEnd(arrived.flow, now).After(deadline) {
+		q.refuse(arrived, dcreason.WaitExceedsDeadline)
+	}
+	if q.fair.waiting > q.config.MaxQueue {
+		q.refuse(q.fair.furthestAboveShare(arrived.flow), dcreason.QueueFull)
+	}
+	return ticket, q.decisions
+}
+
+// Done removes a request that was started.
+func (q *Queue) Done(ticket Ticket, sample Sample, now time.Time) []Decision {
+	q.begin(now)
+	done := q.entries[ticket]
+	if done == nil || done.element != nil {
+		return nil
+	}
+	elapsed := now.Sub(done.started)
+	q.service.add(elapsed)
+	q.limiter.observe(observation{Sample: sample, started: done.started, elapsed: elapsed}, now)
+	q.leave(done)
+	q.dispatch(now)
+	return q.decisions
+}
+
+// Cancel removes a request whose caller went away, whether it waits or runs.
+// Nothing is learned from how long it ran.
+func (q *Queue) Cancel(ticket Ticket, now time.Time) []Decision {
+	q.begin(now)
+	cancelled := q.entries[ticket]
+	if cancelled == nil {
+		return nil
+	}
+	if cancelled.element != nil {
+		q.dequeue(cancelled)
+		delete(q.entries, ticket)
+		return q.decisions
+	}
+	q.leave(cancelled)
+	q.dispatch(now)
+	return q.decisions
+}
+
+// Timer refuses waiting requests that can no longer be answered in time.
+func (q *Queue) Timer(now time.Time) []Decision {
+	q.begin(now)
+	q.dispatch(now)
+	return q.decisions
+}
+
+// Next returns when Timer must be called, or the zero time.
+func (q *Queue) Next() time.Time {
+	if len(q.deadlines) == 0 {
+		return time.Time{}
+	}
+	return q.deadlines[0].deadline.Add(-q.service.bound())
+}
+
+// Limit returns the concurrency limit.
+func (q *Queue) Limit() int {
+	return q.limiter.limit()
+}
+
+// Running returns the requests that were started and are not done.
+func (q *Queue) Running() int {
+	return q.running
+}
+
+// Waiting returns the requests that wait.
+func (q *Queue) Waiting() int {
+	return q.fair.waiting
+}
+
+// begin starts an event: requests that can no longer be answered in time leave
+// the queue first, so that no slot is spent on them.
+func (q *Queue) begin(now time.Time) {
+	q.decisions = q.decisions[:0]
+	for next := q.Next(); !next.IsZero() && !now.Before(next); next = q.Next() {
+		q.refuse(q.deadlines[0], dcreason.WaitExceedsDeadline)
+	}
+}
+
+// dispatch starts waiting requests while the limit allows.
+func (q *Queue) dispatch(now time.Time) {
+	for q.running < q.limiter.limit() && q.fair.waiting > 0 {
+		started := q.fair.next()
+		q.dequeue(started)
+		started.started = now
+		q.running++
+		q.decide(started.ticket, dcreason.OK)
+	}
+	if q.running >= q.limiter.limit() {
+		q.limiter.saturated = true
+	}
+}
+
+// expectedEnd is when the newest request of a flow is expected to be answered.
+// The flow is served at its share of the rate, or faster when the others run
+// out of requests before it.
+func (q *Queue) expectedEnd(arrived *flow, now time.Time) time.Time {
+	turn := q.service.mean / time.Duration(q.limiter.limit())
+	ahead := min(float64(arrived.queue.Len())/q.fair.share(arrived), float64(q.fair.waiting))
+	wait := time.Duration(ahead * float64(turn))
+	return now.Add(wait + q.service.bound())
+}
+
+func (q *Queue) enqueue(arrived *entry) {
+	q.fair.push(arrived)
+	q.entries[arrived.ticket] = arrived
+	heap.Push(&q.deadlines, arrived)
+}
+
+func (q *Queue) dequeue(waiting *entry) {
+	q.fair.remove(waiting)
+	heap.Remove(&q.deadlines, waiting.position)
+}
+
+func (q *Queue) leave(running *entry) {
+	delete(q.entries, running.ticket)
+	q.running--
+}
+
+func (q *Queue) refuse(waiting *entry, code dcreason.Code) {
+	q.dequeue(waiting)
+	delete(q.entries, waiting.ticket)
+	q.decide(waiting.ticket, code)
+}
+
+func (q *Queue) decide(ticket Ticket, code dcreason.Code) {
+	q.decisions = append(q.decisions, Decision{Ticket: ticket, Code: code})
+}
+
+// deadlineHeap orders waiting requests by deadline.
+type deadlineHeap []*entry
+
+func (h deadlineHeap) Len() int           { return len(h) }
+func (h deadlineHeap) Less(i, j int) bool { return h[i].deadline.Before(h[j].deadline) }
+
+func (h deadlineHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].position, h[j].position = i, j
+}
+
+// Push implements heap.Interface.
+func (h *deadlineHeap) Push(x any) {
+	added := x.(*entry)
+	added.position = len(*h)
+	*h = append(*h, added)
+}
+
+// Pop implements heap.Interface.
+func (h *deadlineHeap) Pop() any {
+	last := len(*h) - 1
+	removed := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return removed
+}
