Test the query state machine and send second hedges earlier

The cause is the shard whose first hedge is a straggler too: it waited for the 0.8, later 0.6, quantile of a fresh sub-query before the second hedge. The burst grows from 20 to 50, as one query of 310 shards spends 13.

--- a/internal/dcbudget/budget.go
+++ b/internal/dcbudget/budget.go
@@ -10,8 +10,9 @@
 )
 
 // Burst is the number of tokens a budget can hold. A query to 310 servers
-// hedges 3% of its sub-queries, about 10 at one instant.
-const Burst = 20
+// hedges 4% of its sub-queries, about 13 at two instants, and several queries
+// start before the first of them hedges.
+const Burst = 50
 
 // maxFraction bounds the extra load that a configuration can ask for.
 const maxFraction = 1.0
--- a/internal/dcbudget/tracker.go
+++ b/internal/dcbudget/tracker.go
@@ -25,14 +25,22 @@
 	// hedgeShare is the part of the extra load that first hedges may use by
 	// themselves. The rest is for second hedges and retries.
 	hedgeShare = 0.6
-	// laterQuantile is the quantile after which a second hedge follows the
-	// first one. Only slow sub-queries have a first hedge, so a lower quantile
-	// adds little load, and the sum of both delays bounds the latency of a
-	// shard with two stragglers.
-	laterQuantile = 0.8
+	// laterShare is the number of second hedges as a fraction of first ones.
+	laterShare = 0.4
+	// laterFloor divides the first delay to give the smallest second one. When
+	// all latencies are nearly equal both quantiles are, and the first hedge
+	// would not get time to answer.
+	laterFloor = 8
 )
 
 // tracker keeps recent latencies and the hedge delays that follow from them.
+// Cancelled sub-queries are recorded with the time they had been running, so
+// a quantile tells how many shards are still open at that time. The second
+// hedge is sent at a higher quantile of the same distribution: few but
+// stragglers are open then, whatever the spread of ordinary latencies is. A
+// delay of the 0.6 quantile after the first hedge gave a tail ratio of 1.69 at
+// 310 shards and a spread of 0.2, because a shard with two stragglers waited
+// for both delays.
 type tracker struct {
 	quantile float64
 	recent   *hdrhistogram.WindowedHistogram
@@ -80,7 +88,7 @@
 	t.computed = now
 	t.samples = merged.TotalCount()
 	t.first = quantileOf(merged, t.quantile)
-	t.later = quantileOf(merged, laterQuantile)
+	t.later = max(quantileOf(merged, 1-(1-t.quantile)*laterShare)-t.first, t.first/laterFloor)
 }
 
 // rotate starts new windows for the time that has passed.
--- /dev/null
+++ b/internal/dcquery/query_test.go
@@ -0,0 +1,388 @@
+package dcquery
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcbudget"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	"github.com/dandelioncart/dandelioncart/internal/dcshardmap"
+	"github.com/dandelioncart/dandelioncart/internal/dcupstream"
+)
+
+var failureCodes = []dcreason.Code{
+	dcreason.VersionGone, dcreason.ShardGone, dcreason.UpstreamShed, dcreason.UpstreamDraining,
+	dcreason.UpstreamError, dcreason.UpstreamMalformed, dcreason.UpstreamCrashed,
+	dcreason.ConnectionRefused, dcreason.ConnectionFailed, dcreason.OutcomeUnknown, dcreason.OK, "",
+}
+
+// faulty answers with random faults: failures, labels of other sub-queries,
+// duplicates, and answers after the deadline.
+func faulty(random *rand.Rand) func(Action) reply {
+	return func(send Action) reply {
+		after := time.Duration(random.IntN(300)) * time.Millisecond / 10
+		answer := ok(send.Label, after)
+		switch random.IntN(12) {
+		case 0:
+			answer = fail(dcreason.Unknown, failureCodes[random.IntN(len(failureCodes))])
+		case 1:
+			answer = fail(dcreason.NotRun, failureCodes[random.IntN(len(failureCodes))])
+		case 2:
+			answer = mislabelled(send.Label, random.IntN(labelFields))
+		case 3:
+			answer.after = time.Second
+		case 4:
+			answer.copies = 2
+		}
+		return answer
+	}
+}
+
+const labelFields = 6
+
+// mislabelled is an answer that is correct but for one field of its label.
+func mislabelled(label dcupstream.Label, field int) reply {
+	switch field {
+	case 0:
+		label.Request = "r2"
+	case 1:
+		label.Service = "mills"
+	case 2:
+		label.Shard += "0"
+	case 3:
+		label.Version = "v0"
+	case 4:
+		label.Epoch++
+	default:
+		label.Attempt++
+	}
+	return ok(label, time.Millisecond)
+}
+
+// TestRandomFaults guards against false coverage, mixed versions, answers
+// merged into the wrong query, and extra load without bound.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(400) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		group := dcbudget.NewGroup(0.9, 0.05)
+		for range 300 {
+			group.RecordLatency(time.Duration(random.IntN(10000))*time.Microsecond, epoch)
+		}
+		pins := []*dcshardmap.Pin{testPin(20, "v1", 1), testPin(24, "v2", 2)}
+		pin := pins[0]
+		options := testOptions(seed)
+		options.Budget = group.NewBudget()
+		options.Rule = Rule{Complete: seed%2 == 0, MinCoverage: 0.5}
+		options.Canary = seed%3 == 0
+		options.PinNewer = func(*dcshardmap.Pin) *dcshardmap.Pin {
+			pin = pins[1]
+			return pin
+		}
+		r := rig{serve: faulty(random), uncancelled: true}
+		answer := r.run(t, New(pin, options), epoch)
+		checkCoverage(t, pin, answer)
+		if charged := answer.Stats.Hedges + answer.Stats.Retries; charged > dcbudget.Burst+1 {
+			t.Errorf("%d hedges and retries exceed the burst", charged)
+		}
+		if r.finished.After(options.Deadline) {
+			t.Errorf("finished %v after the deadline", r.finished.Sub(options.Deadline))
+		}
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
+// TestLabelMismatch guards against answers that belong to another sub-query:
+// each field of the label alone must keep an answer out.
+func TestLabelMismatch(t *testing.T) {
+	for field := range labelFields {
+		r := rig{serve: func(send Action) reply { return mislabelled(send.Label, field) }}
+		pin := testPin(3, "v1", 1)
+		answer := r.run(t, New(pin, testOptions(1)), epoch)
+		checkCoverage(t, pin, answer)
+		if !answer.Refused || answer.Stats.Mismatched != 3 {
+			t.Errorf("field %d: refused %t with %d mismatches", field, answer.Refused, answer.Stats.Mismatched)
+		}
+	}
+}
+
+// TestStrayResponses guards against late, duplicate and crossed responses that
+// change an answer: the answer of one transmission delivered as another.
+func TestStrayResponses(t *testing.T) {
+	query := New(testPin(2, "v1", 1), testOptions(1))
+	sends := append([]Action(nil), query.Start(epoch)[:2]...)
+	one, other := sends[0], sends[1]
+	if actions := query.Response(99, ok(one.Label, 0).response, epoch); len(actions) > 0 {
+		t.Errorf("unknown transmission: %v", actions)
+	}
+	query.Response(one.Transmission, ok(one.Label, 0).response, epoch)
+	if actions := query.Response(one.Transmission, ok(one.Label, 0).response, epoch); len(actions) > 0 {
+		t.Errorf("duplicate: %v", actions)
+	}
+	actions := query.Response(other.Transmission, ok(one.Label, 0).response, epoch)
+	answer := actions[len(actions)-1].Answer
+	if answer == nil || len(answer.Results) != 1 || answer.Coverage[0].Missing[0].Shard != other.Label.Shard {
+		t.Errorf("crossed: %+v", answer)
+	}
+	if stats := query.Stats(); stats.Stray != 2 || stats.Mismatched != 1 {
+		t.Errorf("stats %+v", stats)
+	}
+}
+
+// TestSnapshotChange guards against answers that mix versions or epochs when
+// either changes while the query runs, and against a restart that never ends.
+func TestSnapshotChange(t *testing.T) {
+	next := testPin(6, "v2", 1)
+	split := testPin(12, "v1", 2)
+	tests := []struct {
+		name     string
+		code     dcreason.Code
+		newer    *dcshardmap.Pin
+		complete bool
+		needed   time.Duration
+		// gone is the number of shards that the old pin lost.
+		gone, restarts, results int
+		refused                 bool
+	}{
+		{name: "new version", code: dcreason.VersionGone, newer: next, complete: true, gone: 6, restarts: 1, results: 6},
+		{name: "repartition", code: dcreason.ShardGone, newer: split, complete: true, gone: 1, restarts: 1, results: 12},
+		{name: "no newer pin, partial", code: dcreason.VersionGone, gone: 2, results: 4},
+		{name: "no newer pin, complete", code: dcreason.VersionGone, complete: true, gone: 2, refused: true},
+		{name: "no time left", code: dcreason.ShardGone, newer: split, needed: time.Second, gone: 2, results: 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			pin := testPin(6, "v1", 1)
+			lost := make(map[dcid.ShardID]bool)
+			for _, shard := range pin.Services[0].Shards[:test.gone] {
+				lost[shard.ID] = true
+			}
+			options := testOptions(3)
+			options.Rule.Complete = test.complete
+			options.RestartTime = test.needed
+			options.PinNewer = func(*dcshardmap.Pin) *dcshardmap.Pin { return test.newer }
+			r := rig{uncancelled: true, serve: func(send Action) reply {
+				if send.Label.Version == "v1" && send.Label.Epoch == 1 && lost[send.Label.Shard] {
+					return fail(dcreason.NotRun, test.code)
+				}
+				return ok(send.Label, 2*time.Millisecond)
+			}}
+			answer := r.run(t, New(pin, options), epoch)
+			if test.restarts > 0 {
+				pin = test.newer
+			}
+			checkCoverage(t, pin, answer)
+			if answer.Stats.Restarts != test.restarts || len(answer.Results) != test.results || answer.Refused != test.refused {
+				t.Errorf("answer %+v", answer)
+			}
+			if answer.Stats.Moves > 2*test.gone {
+				t.Errorf("%d moves for %d shards gone", answer.Stats.Moves, test.gone)
+			}
+		})
+	}
+}
+
+// TestRestartOnce guards against a query that follows index versions for as
+// long as they change.
+func TestRestartOnce(t *testing.T) {
+	options := testOptions(1)
+	version := 1
+	options.PinNewer = func(*dcshardmap.Pin) *dcshardmap.Pin {
+		version++
+		return testPin(4, dcid.IndexVersion(fmt.Sprintf("v%d", version)), 1)
+	}
+	r := rig{serve: func(Action) reply { return fail(dcreason.NotRun, dcreason.VersionGone) }}
+	answer := r.run(t, New(testPin(4, "v1", 1), options), epoch)
+	if version != 2 || !answer.Refused {
+		t.Errorf("followed to version %d, answer %+v", version, answer)
+	}
+}
+
+// TestOverloadAmplification guards against extra load on upstreams that shed
+// or fail: each refused sub-query sent again would double the load.
+func TestOverloadAmplification(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome dcreason.Outcome
+		code    dcreason.Code
+		// limit is the extra load allowed in 200 queries with 30 shards each.
+		limit int
+	}{
+		// Retries end once each server is known to shed, within three queries.
+		{"shed", dcreason.NotRun, dcreason.UpstreamShed, dcbudget.Burst + 3*30*5/100},
+		{"error", dcreason.Ran, dcreason.UpstreamError, 200*30*5/100 + dcbudget.Burst},
+		{"refused", dcreason.NotRun, dcreason.ConnectionRefused, 200*30*5/100 + dcbudget.Burst},
+	}
+	for _, test := range tests {
+		budget := dcbudget.NewGroup(0.97, 0.05).NewBudget()
+		for i := range 300 {
+			budget.RecordLatency(time.Duration(i)*time.Microsecond, epoch)
+		}
+		extra := 0
+		for i := range 200 {
+			start := epoch.Add(time.Duration(i) * time.Millisecond)
+			options := testOptions(uint64(i))
+			options.Budget = budget
+			options.Deadline = start.Add(200 * time.Millisecond)
+			r := rig{serve: func(Action) reply { return fail(test.outcome, test.code) }}
+			answer := r.run(t, New(testPin(30, "v1", 1), options), start)
+			extra += answer.Stats.Hedges + answer.Stats.Retries
+			if answer.Outcome != test.outcome {
+				t.Errorf("%s: outcome %s", test.name, answer.Outcome)
+			}
+		}
+		if extra > test.limit {
+			t.Errorf("%s: %d extra sub-queries, want at most %d", test.name, extra, test.limit)
+		}
+	}
+}
+
+// TestHedgeDomain guards against hedges into the failure domain that is slow,
+// and against a loser that keeps running.
+func TestHedgeDomain(t *testing.T) {
+	pin := testPin(1, "v1", 1)
+	replicas := pin.Services[0].Shards[0].Replicas
+	replicas[1].Domain = replicas[0].Domain
+	for seed := range uint64(20) {
+		budget := dcbudget.NewGroup(0.9, 0.1).NewBudget()
+		for range 300 {
+			budget.RecordLatency(5*time.Millisecond, epoch)
+		}
+		options := testOptions(seed)
+		options.Budget = budget
+		r := rig{}
+		r.serve = func(send Action) reply {
+			if len(r.sends) == 1 {
+				return ok(send.Label, 100*time.Millisecond)
+			}
+			return ok(send.Label, time.Millisecond)
+		}
+		answer := r.run(t, New(pin, options), epoch)
+		if answer.Stats.Hedges == 0 || len(r.events) != 0 {
+			t.Fatalf("seed %d: %d hedges, %d still running", seed, answer.Stats.Hedges, len(r.events))
+		}
+		if (r.sends[0].Server[0] == 'c') == (r.sends[1].Server[0] == 'c') {
+			t.Errorf("seed %d: sent to %s and hedged to %s", seed, r.sends[0].Server, r.sends[1].Server)
+		}
+	}
+}
+
+// TestCanary guards against a request that crashes each server that runs it.
+func TestCanary(t *testing.T) {
+	crash := fail(dcreason.Unknown, dcreason.UpstreamCrashed)
+	shed := fail(dcreason.NotRun, dcreason.UpstreamShed)
+	timeout := fail(dcreason.Unknown, dcreason.OutcomeUnknown)
+	tests := []struct {
+		name    string
+		replies []reply
+		retry   bool
+		// sent is the number of transmissions of a query with 10 shards.
+		sent, suspects int
+		code           dcreason.Code
+	}{
+		{"succeeds", nil, false, 10, 0, dcreason.OK},
+		{"crashes, no retry", []reply{crash}, false, 1, 1, dcreason.UpstreamCrashed},
+		{"crashes once", []reply{crash}, true, 11, 1, dcreason.OK},
+		{"crashes twice", []reply{crash, crash}, true, 2, 2, dcreason.UpstreamCrashed},
+		{"crashes, then refused", []reply{crash, shed}, true, 2, 1, dcreason.UpstreamCrashed},
+		{"refused", []reply{shed}, true, 11, 0, dcreason.OK},
+		{"no answer", []reply{timeout}, true, 1, 0, dcreason.OutcomeUnknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			options := testOptions(1)
+			options.Budget = dcbudget.NewGroup(0.9, 0.05).NewBudget()
+			options.Canary = true
+			options.RetryCanary = func(dcid.ServerAddr) bool { return test.retry }
+			r := rig{}
+			r.serve = func(send Action) reply {
+				if len(r.sends) <= len(test.replies) {
+					return test.replies[len(r.sends)-1]
+				}
+				return ok(send.Label, time.Millisecond)
+			}
+			pin := testPin(10, "v1", 1)
+			answer := r.run(t, New(pin, options), epoch)
+			checkCoverage(t, pin, answer)
+			if answer.Code != test.code || answer.Stats.Sent != test.sent || len(r.suspects) != test.suspects {
+				t.Errorf("code %s, %d sent, suspects %v", answer.Code, answer.Stats.Sent, r.suspects)
+			}
+			if len(r.suspects) == 2 && r.suspects[0] == r.suspects[1] {
+				t.Errorf("server %s was sent the request twice", r.suspects[0])
+			}
+		})
+	}
+}
+
+// TestEnds guards against a wrong outcome or code at the end of a query.
+func TestEnds(t *testing.T) {
+	slow := func(send Action) reply {
+		if send.Label.Shard == "e1-s000" {
+			return ok(send.Label, time.Second)
+		}
+		return ok(send.Label, time.Millisecond)
+	}
+	refuse := func(Action) reply { return fail(dcreason.NotRun, dcreason.ConnectionRefused) }
+	bare := testPin(4, "v1", 1)
+	bare.Services[0].Shards[3].Replicas = nil
+	tests := []struct {
+		name    string
+		pin     *dcshardmap.Pin
+		serve   func(Action) reply
+		rule    Rule
+		bytes   int
+		refused bool
+		outcome dcreason.Outcome
+		code    dcreason.Code
+	}{
+		{"partial at the deadline", testPin(4, "v1", 1), slow, Rule{MinCoverage: 0.75}, 0, false, dcreason.Ran, dcreason.DeadlineExceeded},
+		{"too little at the deadline", testPin(4, "v1", 1), slow, Rule{MinCoverage: 0.8}, 0, true, dcreason.Ran, dcreason.DeadlineExceeded},
+		{"incomplete at the deadline", testPin(4, "v1", 1), slow, Rule{Complete: true}, 0, true, dcreason.Ran, dcreason.DeadlineExceeded},
+		{"nothing ran", testPin(4, "v1", 1), refuse, Rule{}, 0, true, dcreason.NotRun, dcreason.CoverageIncomplete},
+		{"no map", nil, slow, Rule{}, 0, true, dcreason.NotRun, dcreason.MapUnknown},
+		{"no server, complete", bare, slow, Rule{Complete: true}, 0, true, dcreason.NotRun, dcreason.CoverageIncomplete},
+		{"bodies too large", testPin(4, "v1", 1), slow, Rule{}, 30, false, dcreason.Ran, dcreason.DeadlineExceeded},
+	}
+	for _, test := range tests {
+		options := testOptions(1)
+		options.Rule = test.rule
+		options.MaxBytes = test.bytes
+		r := rig{serve: test.serve}
+		answer := r.run(t, New(test.pin, options), epoch)
+		if test.pin != nil {
+			checkCoverage(t, test.pin, answer)
+		}
+		if answer.Refused != test.refused || answer.Outcome != test.outcome || answer.Code != test.code {
+			t.Errorf("%s: refused %t, %s, %s", test.name, answer.Refused, answer.Outcome, answer.Code)
+		}
+		if test.bytes > 0 && len(answer.Results) != 1 {
+			t.Errorf("%s: %d bodies kept", test.name, len(answer.Results))
+		}
+	}
+}
+
+func BenchmarkQuery(b *testing.B) {
+	for _, shards := range []int{30, 310} {
+		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
+			pin := testPin(shards, "v1", 1)
+			options := testOptions(1)
+			options.Budget = dcbudget.NewGroup(0.97, 0.05).NewBudget()
+			body := make([]byte, 64)
+			sends := make([]Action, 0, shards+spareActions)
+			b.ReportAllocs()
+			for b.Loop() {
+				query := New(pin, options)
+				sends = append(sends[:0], query.Start(epoch)...)
+				for _, send := range sends {
+					query.Response(send.Transmission, dcupstream.Response{
+						Label: send.Label, Body: body, Outcome: dcreason.Ran, Code: dcreason.OK,
+					}, epoch.Add(time.Millisecond))
+				}
+			}
+		})
+	}
+}
