Test the shard map and the extra-load budget

The tables cover mixed and partly loaded versions, a repartition, totals that conflict, reports that exceed limits, and answers that contradict a status report.

--- /dev/null
+++ b/internal/dcbudget/budget_test.go
@@ -0,0 +1,96 @@
+package dcbudget
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestBudgetFraction guards against extra load above its fraction, whatever
+// the pattern of sending, and against one department that spends the budget of
+// another.
+func TestBudgetFraction(t *testing.T) {
+	const seed, fraction = 5, 0.05
+	random := rand.New(rand.NewPCG(seed, 0))
+	group := NewGroup(0.95, fraction)
+	budget, other := group.NewBudget(), group.NewBudget()
+	sent, extra := 0, 0
+	for range 10000 {
+		n := random.IntN(310)
+		budget.Sent(n)
+		sent += n
+		for range random.IntN(100) {
+			if budget.Take() {
+				extra++
+			}
+		}
+	}
+	if limit := fraction*float64(sent) + Burst; float64(extra) > limit || float64(extra) < 0.9*limit {
+		t.Errorf("seed %d: %d extra sub-queries for %d, limit %.0f", seed, extra, sent, limit)
+	}
+	if other.Level() != Burst {
+		t.Errorf("another department has %.1f tokens left", other.Level())
+	}
+	budget.Sent(1 << 30)
+	if budget.Level() != Burst {
+		t.Errorf("%.1f tokens exceed the burst", budget.Level())
+	}
+	none := NewGroup(0.95, 0).NewBudget()
+	none.Sent(1000)
+	if none.Take() {
+		t.Error("a group without extra load grants some")
+	}
+}
+
+// TestHedgeDelay guards against delays from too few or too old latencies.
+func TestHedgeDelay(t *testing.T) {
+	group := NewGroup(0.5, 0.05)
+	now := start
+	if _, ok := group.HedgeDelay(1, now); ok {
+		t.Error("delay without latencies")
+	}
+	for i := range 1000 {
+		group.RecordLatency(time.Duration(i)*time.Millisecond/10, now)
+	}
+	now = now.Add(refreshTime)
+	delay, ok := group.HedgeDelay(1, now)
+	// The quantile of 0.5 would spend half of the load and is raised to 0.97.
+	if !ok || delay < 96*time.Millisecond || delay > 98*time.Millisecond {
+		t.Errorf("delay %v, %t", delay, ok)
+	}
+	if later, _ := group.HedgeDelay(2, now); later != delay/laterFloor {
+		t.Errorf("second delay %v after %v", later, delay)
+	}
+	now = now.Add((windows + 1) * windowTime)
+	for range minSamples {
+		group.RecordLatency(time.Millisecond, now)
+	}
+	if delay, _ := group.HedgeDelay(1, now); delay > 2*time.Millisecond {
+		t.Errorf("delay %v comes from latencies that are forgotten", delay)
+	}
+	group.RecordLatency(-time.Second, now)
+	group.RecordLatency(time.Hour, now)
+	if _, ok := NewGroup(0, 0.05).HedgeDelay(1, now); ok {
+		t.Error("delay although hedging is off")
+	}
+}
+
+// TestShedding guards against extra load on a server that sheds, and against
+// one refusal that stops it for good.
+func TestShedding(t *testing.T) {
+	group := NewGroup(0.95, 0.05)
+	group.RecordShed("a1", start)
+	for _, check := range []struct {
+		at   time.Duration
+		want bool
+	}{{0, true}, {ShedHold - 1, true}, {ShedHold, false}} {
+		if got := group.Shedding("a1", start.Add(check.at)); got != check.want {
+			t.Errorf("shedding %t after %v", got, check.at)
+		}
+	}
+	if group.Shedding("a2", start) {
+		t.Error("another server sheds")
+	}
+}
--- /dev/null
+++ b/internal/dcshardmap/table_test.go
@@ -0,0 +1,235 @@
+package dcshardmap
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	upstreamv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/upstream/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// status parses "1/2: s0=v1,v2 s1=v1; 2/4: t0=v1", which lists epochs with
+// their total and the versions of each shard held.
+func status(text string) *upstreamv1.Status {
+	report := &upstreamv1.Status{State: stateServing}
+	for part := range strings.SplitSeq(text, ";") {
+		head, held, found := strings.Cut(part, ":")
+		if !found {
+			continue
+		}
+		epoch, total, _ := strings.Cut(strings.TrimSpace(head), "/")
+		number, _ := strconv.Atoi(epoch)
+		shards, _ := strconv.Atoi(total)
+		one := &upstreamv1.MapEpoch{Epoch: uint32(number), TotalShards: int32(shards)}
+		for _, field := range strings.Fields(held) {
+			shard, versions, _ := strings.Cut(field, "=")
+			one.Shards = append(one.Shards, &upstreamv1.HeldShard{Shard: shard, Versions: strings.Split(versions, ",")})
+		}
+		report.Maps = append(report.Maps, one)
+	}
+	return report
+}
+
+// newTable has service recipes with servers a1, a2 and a3, and service mills
+// with server b1, which holds its only shard in versions v1 to v3.
+func newTable(t *testing.T, reports ...string) *Table {
+	t.Helper()
+	table := New()
+	table.Configure([]Service{
+		{Name: "recipes", Servers: []Server{{"a1", "x"}, {"a2", "y"}, {"a3", "z"}}},
+		{Name: "mills", Servers: []Server{{"b1", "x"}}},
+	})
+	for i, text := range append([]string{"1/1: m0=v1,v2,v3"}, reports...) {
+		server := dcid.ServerAddr([]string{"b1", "a1", "a2", "a3"}[i])
+		if err := table.Report(server, status(text), start); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return table
+}
+
+// describe writes a pin as version, epochs and the replicas of recipes.
+func describe(pin *Pin) string {
+	if pin == nil {
+		return "none"
+	}
+	recipes := pin.Services[0]
+	text := fmt.Sprintf("%s epoch %d", pin.Version, recipes.Epoch)
+	for _, shard := range recipes.Shards {
+		text += " " + string(shard.ID) + "="
+		servers := make([]string, 0, len(shard.Replicas))
+		for _, replica := range shard.Replicas {
+			servers = append(servers, string(replica.Server)+string(replica.Domain))
+		}
+		slices.Sort(servers)
+		text += strings.Join(servers, ",")
+	}
+	return text
+}
+
+// TestPin guards against pins that mix epochs or versions, and against pins
+// that call a part of the shards the whole.
+func TestPin(t *testing.T) {
+	tests := []struct {
+		name    string
+		reports []string
+		want    string
+	}{
+		{"newest complete version", []string{"1/2: s0=v1,v2 s1=v1,v2", "1/2: s1=v1"}, "v2 epoch 1 s0=a1x s1=a1x"},
+		{"newer version partly loaded", []string{"1/2: s0=v1,v2", "1/2: s1=v1"}, "v1 epoch 1 s0=a1x s1=a2y"},
+		{"version missing in another service", []string{"1/1: s0=v3,v4"}, "v3 epoch 1 s0=a1x"},
+		{"newest complete epoch", []string{"1/1: s0=v1; 2/2: t0=v1", "2/2: t1=v1"}, "v1 epoch 2 t0=a1x t1=a2y"},
+		{"newer epoch partly loaded", []string{"1/1: s0=v1; 2/2: t0=v1"}, "v1 epoch 1 s0=a1x"},
+		{"newer version only in the older epoch", []string{"1/1: s0=v1,v2; 2/1: t0=v1"}, "v2 epoch 1 s0=a1x"},
+		{"no complete version", []string{"1/2: s0=v1 s1=v2", "1/2: s0=v2"}, "v2 epoch 1 s0=a2y s1=a1x"},
+		{"most held shards", []string{"1/3: s0=v1 s1=v1,v2", "1/3: s2=v3"}, "v1 epoch 1 s0=a1x s1=a1x s2="},
+		{"shard not known by name", []string{"1/3: s0=v1 s1=v1"}, "none"},
+		{"no report", nil, "none"},
+		{"empty reports", []string{"", ""}, "none"},
+		{"smaller total outvoted", []string{"1/1: s0=v1", "1/2: s0=v1 s1=v1", "1/2: s0=v1"}, "v1 epoch 1 s0=a2y,a3z s1=a2y"},
+		{"larger total outvoted", []string{"1/9: s8=v1", "1/1: s0=v1", "1/1: s0=v1"}, "v1 epoch 1 s0=a2y,a3z"},
+		{"totals tie", []string{"1/1: s0=v1", "1/2: s0=v1 s1=v1"}, "none"},
+		{"totals tie, older epoch agreed", []string{"1/1: s0=v1; 2/1: t0=v1", "2/2: t0=v1 t1=v1"}, "v1 epoch 1 s0=a1x"},
+		{"more shards than exist", []string{"1/1: s0=v1", "1/1: s9=v1"}, "none"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := describe(newTable(t, test.reports...).Pin()); got != test.want {
+				t.Errorf("pin %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// TestEvidence guards against servers whose status lags behind their answers.
+func TestEvidence(t *testing.T) {
+	later := start.Add(time.Second)
+	const one, two = "v2 epoch 1 s0=a1x,a2y", "v2 epoch 1 s0=a2y"
+	table := newTable(t, "1/1: s0=v1,v2", "1/1: s0=v1,v2")
+	pin := table.Pin()
+	steps := []struct {
+		name string
+		do   func()
+		want string
+	}{
+		{"both", func() {}, one},
+		{"409 removes a claim", func() { table.VersionGone("a1", "s0", "v2", 1, later) }, two},
+		{"report requested before", func() { _ = table.Report("a1", status("1/1: s0=v1,v2"), start) }, two},
+		{"report requested after", func() { _ = table.Report("a1", status("1/1: s0=v1,v2"), later.Add(1)) }, one},
+		{"410 removes all versions", func() { table.ShardGone("a1", "s0", 1, later.Add(2)) }, two},
+		{"unknown claims", func() { table.VersionGone("a2", "s7", "v2", 1, later); table.ShardGone("c9", "s0", 1, later) }, two},
+		{"leaving", func() { table.SetUsable("a2", false) }, "v3 epoch 1 s0="},
+		{"returned", func() { table.SetUsable("a2", true) }, two},
+		{"last replica", func() { table.ShardGone("a2", "s0", 1, later) }, "v3 epoch 1 s0="},
+		{"new version", func() { _ = table.Report("a2", status("1/1: s0=v3"), later.Add(3)) }, "v3 epoch 1 s0=a2y"},
+	}
+	for _, step := range steps {
+		step.do()
+		if got := describe(table.Pin()); got != step.want {
+			t.Errorf("%s: pin %q, want %q", step.name, got, step.want)
+		}
+	}
+	if describe(pin) != one {
+		t.Errorf("a pin in use changed to %q", describe(pin))
+	}
+}
+
+// TestPinNewer guards against a restart on the same or an older snapshot.
+func TestPinNewer(t *testing.T) {
+	table := newTable(t, "1/1: s0=v1")
+	pin := table.Pin()
+	steps := []struct {
+		report, want string
+	}{
+		{"1/1: s0=v1", "none"},
+		{"1/1: s0=v1; 2/2: t0=v1 t1=v1", "v1 epoch 2 t0=a1x t1=a1x"},
+		{"1/1: s0=v1,v2", "v2 epoch 1 s0=a1x"},
+		{"1/1: s0=v0", "none"},
+	}
+	for _, step := range steps {
+		if err := table.Report("a1", status(step.report), start); err != nil {
+			t.Fatal(err)
+		}
+		if got := describe(table.PinNewer(pin)); got != step.want {
+			t.Errorf("%q: newer pin %q, want %q", step.report, got, step.want)
+		}
+	}
+}
+
+// TestHostileReports guards against reports that exceed their limits or
+// contradict themselves: they are refused and leave the earlier claims.
+func TestHostileReports(t *testing.T) {
+	many := make([]string, MaxVersions+1)
+	for i := range many {
+		many[i] = fmt.Sprintf("v%d", i)
+	}
+	tests := []struct {
+		name, text string
+		asked      time.Time
+		want       error
+	}{
+		{"more shards than total", "1/1: s0=v2 s1=v2", start, ErrReportInvalid},
+		{"epoch twice", "1/1: s0=v2; 1/1: s0=v2", start, ErrReportInvalid},
+		{"epoch zero", "0/1: s0=v2", start, ErrReportInvalid},
+		{"total zero", "1/0:", start, ErrReportInvalid},
+		{"total negative", "1/-4:", start, ErrReportInvalid},
+		{"total huge", "1/2000000000: s0=v2", start, ErrReportInvalid},
+		{"empty version", "1/1: s0=", start, ErrReportInvalid},
+		{"empty shard", "1/1: =v2", start, ErrReportInvalid},
+		{"long name", "1/1: s0=" + strings.Repeat("v", MaxNameLen+1), start, ErrReportInvalid},
+		{"many versions", "1/1: s0=" + strings.Join(many, ","), start, ErrReportInvalid},
+		{"many epochs", strings.Repeat("1/1: s0=v2;", MaxEpochs+1), start, ErrReportInvalid},
+		{"older than accepted", "1/1: s0=v2", start.Add(-1), ErrReportStale},
+	}
+	for _, test := range tests {
+		table := newTable(t, "1/1: s0=v1")
+		if err := table.Report("a1", status(test.text), test.asked); !errors.Is(err, test.want) {
+			t.Errorf("%s: error %v, want %v", test.name, err, test.want)
+		}
+		if got := describe(table.Pin()); got != "v1 epoch 1 s0=a1x" {
+			t.Errorf("%s: pin %q", test.name, got)
+		}
+	}
+	table := newTable(t, "1/1: s0=v1")
+	if err := table.Report("a1", nil, start); !errors.Is(err, ErrReportInvalid) {
+		t.Errorf("nil status: %v", err)
+	}
+	if err := table.Report("c9", status(""), start); !errors.Is(err, ErrServerUnknown) {
+		t.Errorf("unknown server: %v", err)
+	}
+	table.Configure([]Service{{Name: "recipes", Servers: []Server{{"a1", "x"}}}, {Name: "mills"}})
+	if table.Pin() != nil {
+		t.Error("a service without servers is left out of the pin")
+	}
+}
+
+func BenchmarkRebuild(b *testing.B) {
+	const servers = 310
+	table := New()
+	service := Service{Name: "recipes"}
+	for i := range servers {
+		service.Servers = append(service.Servers, Server{Address: dcid.ServerAddr(strconv.Itoa(i))})
+	}
+	table.Configure([]Service{service})
+	for i := range servers {
+		text := fmt.Sprintf("1/%d: s%d=v1,v2 s%d=v1,v2 s%d=v1,v2", servers, i, (i+1)%servers, (i+2)%servers)
+		if err := table.Report(dcid.ServerAddr(strconv.Itoa(i)), status(text), start); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		table.stale = true
+		if table.Pin() == nil {
+			b.Fatal("no pin")
+		}
+	}
+}
