Add the store and host list adapters and the stand-ins

The tier needs something to run against before the host exists. The store client speaks etcd's JSON gateway over net/http and decides from the HTTP trace whether any part of a request was written: only then may a write have an unknown outcome, and only otherwise is the next endpoint tried. A server error on a write counts as unknown, because the service also answers it after a proposal whose leader was lost.

The gateway's deleterange call cannot compare revisions, so Delete is a transaction.

--- /dev/null
+++ b/internal/dchostlist/client.go
@@ -0,0 +1,88 @@
+package dchostlist
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+// TargetGroup is one entry of the Prometheus HTTP service discovery format.
+type TargetGroup struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels,omitempty"`
+}
+
+// StateLabel is the label that holds the state; without it a host is live.
+const StateLabel = "state"
+
+// maxListBytes is the largest list that is read.
+const maxListBytes = 16 << 20
+
+// Client reads the list over HTTP.
+type Client struct {
+	// URL of the list.
+	URL  string
+	HTTP *http.Client
+}
+
+var _ HostList = (*Client)(nil)
+
+// Fetch returns the current list. An unknown state is an error, so that no
+// host is taken for gone because of a label that this version does not know.
+func (c *Client) Fetch(ctx context.Context) (hosts []Host, err error) {
+	defer func() { err = eris.Wrap(err, "fetch host list") }()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.URL, nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Accept", "application/json")
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", response.StatusCode)
+	}
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	if err != nil {
+		return nil, err
+	}
+	var groups []TargetGroup
+	if err := json.Unmarshal(text, &groups); err != nil {
+		return nil, err
+	}
+	return flatten(groups)
+}
+
+func flatten(groups []TargetGroup) (hosts []Host, err error) {
+	for _, group := range groups {
+		state := State(group.Labels[StateLabel])
+		switch state {
+		case "":
+			state = Live
+		case Live, Leaving:
+		default:
+			return nil, fmt.Errorf("unknown state %q; use live or leaving", state)
+		}
+		for _, target := range group.Targets {
+			hosts = append(hosts, Host{Address: target, State: state})
+		}
+	}
+	return hosts, nil
+}
+
+// Encode returns a list in the service discovery format, one group for each
+// host.
+func Encode(hosts []Host) []TargetGroup {
+	groups := make([]TargetGroup, 0, len(hosts))
+	for _, host := range hosts {
+		labels := map[string]string{StateLabel: string(host.State)}
+		groups = append(groups, TargetGroup{Targets: []string{host.Address}, Labels: labels})
+	}
+	return groups
+}
--- /dev/null
+++ b/internal/dcstandin/answer.go
@@ -0,0 +1,129 @@
+package dcstandin
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+)
+
+// SearchAnswer is the JSON body of a search. It repeats what the answer was
+// read from, so that a test can check a merged answer.
+type SearchAnswer struct {
+	Service dcid.ServiceName  `json:"service"`
+	Shard   dcid.ShardID      `json:"shard"`
+	Version dcid.IndexVersion `json:"index-version"`
+	Epoch   dcid.MapEpoch     `json:"map-epoch"`
+	Request string            `json:"request-id"`
+	// Query is QueryDigest of the request body.
+	Query string `json:"query"`
+}
+
+// QueryDigest is how a SearchAnswer names the query that it answers.
+func QueryDigest(body []byte) string {
+	return strconv.FormatUint(xxhash.Sum64(body), 16)
+}
+
+func (u *Upstream) searchBody(request *request) []byte {
+	body, _ := json.Marshal(SearchAnswer{
+		Service: u.config.Service,
+		Shard:   request.shard,
+		Version: request.version,
+		Epoch:   request.epoch,
+		Request: request.id,
+		Query:   QueryDigest(request.body),
+	})
+	return body
+}
+
+// answer sends a complete answer, subject to the answer faults.
+func (u *Upstream) answer(w http.ResponseWriter, request *request, body []byte) {
+	faults := u.answerFaults()
+	u.pause(context.Background(), request.halted, faults.LateBy, nil)
+	header := labels(request)
+	header.Set(HeaderServerState, u.currentState())
+	if faults.WrongLabel != "" {
+		header.Set(faults.WrongLabel, wrong(header.Get(faults.WrongLabel)))
+	}
+	switch {
+	case faults.Malformed:
+		hijack(w, func(out io.Writer) { _, _ = io.WriteString(out, "\x00garbage\r\n\r\n") })
+	case faults.Duplicate:
+		hijack(w, func(out io.Writer) {
+			writeResponse(out, header, body)
+			writeResponse(out, header, body)
+		})
+	default:
+		for name, values := range header {
+			w.Header()[name] = values
+		}
+		_, _ = w.Write(body)
+	}
+}
+
+// labels repeats the labels of a request with its times.
+func labels(request *request) http.Header {
+	header := http.Header{}
+	header.Set(HeaderRequest, request.id)
+	header.Set(HeaderAttempt, request.attempt)
+	if request.shard != "" {
+		header.Set(HeaderShard, string(request.shard))
+		header.Set(HeaderVersion, string(request.version))
+		header.Set(HeaderEpoch, strconv.FormatUint(uint64(request.epoch), 10))
+	}
+	if request.key != "" {
+		header.Set(HeaderKey, string(request.key))
+	}
+	header.Set(HeaderTiming, fmt.Sprintf("queue;dur=%.3f, run;dur=%.3f",
+		milliseconds(request.queueTime), milliseconds(request.runTime)))
+	header.Set("Content-Type", "application/json")
+	return header
+}
+
+func milliseconds(duration time.Duration) float64 {
+	return float64(duration) / float64(time.Millisecond)
+}
+
+// wrong returns another label of the same form, so that only a comparison
+// finds it.
+func wrong(label string) string {
+	if number, err := strconv.Atoi(label); err == nil {
+		return strconv.Itoa(number + 1)
+	}
+	return strings.TrimSpace(label + "x")
+}
+
+// hijack writes raw bytes and closes the connection.
+func hijack(w http.ResponseWriter, write func(io.Writer)) {
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	out := bufio.NewWriter(buffer)
+	write(out)
+	_ = out.Flush()
+	_ = buffer.Flush()
+}
+
+func writeResponse(out io.Writer, header http.Header, body []byte) {
+	response := &http.Response{
+		StatusCode:    http.StatusOK,
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        header,
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
+	}
+	_ = response.Write(out)
+}
--- /dev/null
+++ b/internal/dcstandin/faults.go
@@ -0,0 +1,179 @@
+package dcstandin
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+)
+
+// Faults are the fault switches of an upstream server. The zero value is a
+// healthy server.
+type Faults struct {
+	// Draining refuses new work before it starts.
+	Draining bool
+	// Shed is the fraction of requests refused before start, 0 to 1.
+	Shed float64
+	// SlowFactor multiplies every service time; 0 means 1.
+	SlowFactor float64
+	// ColdFactor multiplies service times after a start and falls linearly to 1
+	// over ColdFor.
+	ColdFactor float64
+	ColdFor    time.Duration
+	// Frozen stops the server like a paused process: it accepts connections
+	// and answers nothing. Orders received meanwhile run when it ends.
+	Frozen bool
+	// LyingStatus reports serving and idle whatever the state.
+	LyingStatus bool
+	// CrashBody is the request body that crashes the server when it is run.
+	CrashBody []byte
+	// RestartAfter is the time that a crashed server stays down; 0 means until
+	// Restart.
+	RestartAfter time.Duration
+
+	// Rate is the fraction of answers that the switches below affect; 0 means
+	// all.
+	Rate float64
+	// WrongLabel is the label header that answers repeat wrongly, for example
+	// Index-Version.
+	WrongLabel string
+	// Malformed answers bytes that are not HTTP.
+	Malformed bool
+	// Duplicate sends the answer twice on the connection.
+	Duplicate bool
+	// LateBy delays answers without regard to deadline and cancellation.
+	LateBy time.Duration
+}
+
+// answerFaults returns the switches that affect one answer.
+func (u *Upstream) answerFaults() Faults {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.faults.Rate > 0 && u.random.Float64() >= u.faults.Rate {
+		return Faults{}
+	}
+	return u.faults
+}
+
+// SetFaults changes the fault switches. A cold start begins when ColdFor is
+// set, and again at every restart.
+func (u *Upstream) SetFaults(change func(*Faults)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	before := u.faults
+	change(&u.faults)
+	if u.faults.ColdFor != before.ColdFor {
+		u.started = u.clock.Now()
+	}
+	if u.faults.Frozen == before.Frozen {
+		return
+	}
+	if before.Frozen {
+		close(u.thawed)
+		return
+	}
+	u.thawed = make(chan struct{})
+}
+
+// Faults returns the fault switches.
+func (u *Upstream) Faults() Faults {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.faults
+}
+
+// serviceTime draws the time that one request runs.
+func (u *Upstream) serviceTime() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	factor := 1.0
+	if u.random.Float64() < u.config.StragglerProbability {
+		factor = u.config.StragglerFactor
+	}
+	if u.faults.SlowFactor > 0 {
+		factor *= u.faults.SlowFactor
+	}
+	if cold := u.coldness(); cold > 0 {
+		factor *= 1 + cold*(u.faults.ColdFactor-1)
+	}
+	return time.Duration(factor * float64(u.config.BaseTime))
+}
+
+// coldness falls from 1 at the start to 0.
+func (u *Upstream) coldness() float64 {
+	if u.faults.ColdFor <= 0 || u.faults.ColdFactor <= 1 {
+		return 0
+	}
+	left := u.faults.ColdFor - u.clock.Since(u.started)
+	return max(0, float64(left)/float64(u.faults.ColdFor))
+}
+
+// crashes reports whether running the body crashes the server.
+func (u *Upstream) crashes(body []byte) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.faults.CrashBody) > 0 && bytes.Equal(u.faults.CrashBody, body)
+}
+
+// crash takes the server down without an answer to any running request.
+func (u *Upstream) crash() {
+	u.mu.Lock()
+	if u.down {
+		u.mu.Unlock()
+		return
+	}
+	u.down = true
+	u.stats.Crashes++
+	close(u.halted)
+	restart, hook := u.faults.RestartAfter, u.onDown
+	u.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
+	if restart > 0 {
+		u.clock.AfterFunc(restart, u.Restart)
+	}
+}
+
+// Restart brings a crashed server back, cold. Recorded orders are kept.
+func (u *Upstream) Restart() {
+	u.mu.Lock()
+	if !u.down || u.closed {
+		u.mu.Unlock()
+		return
+	}
+	u.down = false
+	u.halted = make(chan struct{})
+	u.started = u.clock.Now()
+	hook := u.onUp
+	u.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
+}
+
+// Kill takes the server down as a crash does, until Restart. It does not count
+// as a crash.
+func (u *Upstream) Kill() {
+	u.mu.Lock()
+	if u.down {
+		u.mu.Unlock()
+		return
+	}
+	u.down = true
+	close(u.halted)
+	hook := u.onDown
+	u.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
+}
+
+// listen names the server by its address and sets what a crash and a restart
+// do to its listener.
+func (u *Upstream) listen(address string, down, up func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.config.Address = dcid.ServerAddr(address)
+	u.onDown, u.onUp = down, up
+}
--- /dev/null
+++ b/internal/dcstandin/server.go
@@ -0,0 +1,145 @@
+package dcstandin
+
+import (
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+)
+
+// Server serves a handler on one address. It can be taken down, so that
+// connections are refused, and come back on the same address. Set the exported
+// fields before Start.
+type Server struct {
+	Handler http.Handler
+	// Address is an IP address and port; port 0 is replaced at the first Start.
+	Address string
+	// Connections caps accepted connections; 0 means no cap.
+	Connections int
+	// ConnectTime delays the first read of each connection.
+	ConnectTime time.Duration
+	Clock       clockwork.Clock
+
+	connections connections
+	mu          sync.Mutex
+	http        *http.Server
+	closed      bool
+}
+
+// rebindDelay is the time between attempts to listen on an address that
+// another socket of the machine holds for a moment.
+const rebindDelay = 50 * time.Millisecond
+
+var errServerClosed = errors.New("server is closed; create a new one")
+
+// Start listens and serves until Down or Close.
+func (s *Server) Start() (err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer func() { err = eris.Wrapf(err, "listen on %s", s.Address) }()
+	if s.closed {
+		return errServerClosed
+	}
+	if s.http != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return err
+	}
+	s.Address = listener.Addr().String()
+	s.http = &http.Server{Handler: s.Handler, ErrorLog: log.New(io.Discard, "", 0)}
+	go func(server *http.Server) { _ = server.Serve(s.capped(listener)) }(s.http)
+	return nil
+}
+
+func (s *Server) capped(listener net.Listener) net.Listener {
+	return &cappedListener{
+		Listener:    listener,
+		limit:       s.Connections,
+		connectTime: s.ConnectTime,
+		clock:       s.Clock,
+		connections: &s.connections,
+	}
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Address
+}
+
+// Stats returns the connection counters.
+func (s *Server) Stats() ConnectionStats {
+	return s.connections.snapshot()
+}
+
+// Down closes the listener and every connection.
+func (s *Server) Down() {
+	s.mu.Lock()
+	server := s.http
+	s.http = nil
+	s.mu.Unlock()
+	if server != nil {
+		_ = server.Close()
+	}
+}
+
+// Up listens again after Down, and tries until the address is free.
+func (s *Server) Up() {
+	err := s.Start()
+	if err == nil || errors.Is(err, errServerClosed) {
+		return
+	}
+	s.Clock.AfterFunc(rebindDelay, s.Up)
+}
+
+// Close takes the server down for good.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.Down()
+}
+
+// UpstreamServer is an Upstream behind its own listener.
+type UpstreamServer struct {
+	*Upstream
+	Server *Server
+}
+
+// NewUpstreamServer puts an Upstream behind a listener on its configured
+// address, with its connection cap and connect time.
+func NewUpstreamServer(upstream *Upstream) *UpstreamServer {
+	config := upstream.Config()
+	server := &Server{
+		Handler:     upstream,
+		Address:     string(config.Address),
+		Connections: config.Connections,
+		ConnectTime: config.ConnectTime,
+		Clock:       upstream.clock,
+	}
+	return &UpstreamServer{Upstream: upstream, Server: server}
+}
+
+// Start listens. A crash closes the listener, and a restart opens it again.
+func (s *UpstreamServer) Start() error {
+	if err := s.Server.Start(); err != nil {
+		return err
+	}
+	s.listen(s.Server.Addr(), s.Server.Down, s.Server.Up)
+	return nil
+}
+
+// Close ends running requests and closes the listener for good.
+func (s *UpstreamServer) Close() {
+	s.Upstream.Close()
+	s.Server.Close()
+}
--- /dev/null
+++ b/internal/dcstandin/upstream.go
@@ -0,0 +1,274 @@
+package dcstandin
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+)
+
+// UpstreamConfig is the shape of one upstream server.
+type UpstreamConfig struct {
+	// Address names the server in the journal; a listener sets it.
+	Address       dcid.ServerAddr
+	Group         dcid.GroupName
+	Service       dcid.ServiceName
+	FailureDomain dcid.FailureDomain
+	// Slots is the number of requests that run at once; 1 when zero.
+	Slots int
+	// QueueLimit is the number of requests that may wait for a slot.
+	QueueLimit int
+	// Connections caps accepted connections; 0 means no cap.
+	Connections int
+	// ConnectTime is added before the first request of a connection is read.
+	ConnectTime time.Duration
+	// BaseTime is how long a request runs; stragglers run StragglerFactor times
+	// as long with StragglerProbability, 0 to 1.
+	BaseTime             time.Duration
+	StragglerProbability float64
+	StragglerFactor      float64
+	// Seed of the random source of this server.
+	Seed uint64
+}
+
+// Stats counts what a server did since it was created.
+type Stats struct {
+	// Searches and Orders count requests that started to run.
+	Searches int `json:"searches"`
+	Orders   int `json:"orders"`
+	// Refused counts requests refused before start.
+	Refused   int `json:"refused"`
+	Cancelled int `json:"cancelled"`
+	Crashes   int `json:"crashes"`
+}
+
+// Upstream is the handler of one upstream server.
+type Upstream struct {
+	config  UpstreamConfig
+	clock   clockwork.Clock
+	journal *Journal
+	mux     *http.ServeMux
+	slots   chan struct{}
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	faults   Faults
+	thawed   chan struct{}
+	halted   chan struct{}
+	down     bool
+	closed   bool
+	onDown   func()
+	onUp     func()
+	started  time.Time
+	waiting  int
+	maps     map[dcid.MapEpoch]ShardMap
+	versions []dcid.IndexVersion
+	orders   map[JournalKey]*orderRecord
+	stats    Stats
+}
+
+// maxBody is the largest request body in bytes.
+const maxBody = 4 << 20
+
+// NewUpstream returns a server without shards or index versions. Orders are
+// counted in journal.
+func NewUpstream(config UpstreamConfig, clock clockwork.Clock, journal *Journal) *Upstream {
+	config.Slots = max(config.Slots, 1)
+	u := &Upstream{
+		config:  config,
+		clock:   clock,
+		journal: journal,
+		mux:     http.NewServeMux(),
+		slots:   make(chan struct{}, config.Slots),
+		random:  rand.New(rand.NewPCG(config.Seed, 0)),
+		thawed:  make(chan struct{}),
+		halted:  make(chan struct{}),
+		started: clock.Now(),
+		maps:    make(map[dcid.MapEpoch]ShardMap),
+		orders:  make(map[JournalKey]*orderRecord),
+	}
+	close(u.thawed)
+	u.mux.HandleFunc("POST /v1/shards/{shard}/search", u.search)
+	u.mux.HandleFunc("POST /v1/orders", u.order)
+	u.mux.HandleFunc("GET /v1/orders/{key}", u.orderOutcome)
+	u.mux.HandleFunc("GET /v1/status", u.status)
+	return u
+}
+
+// Config returns the shape of the server.
+func (u *Upstream) Config() UpstreamConfig {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.config
+}
+
+// Stats returns the counters of the server.
+func (u *Upstream) Stats() Stats {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.stats
+}
+
+func (u *Upstream) count(change func(*Stats)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	change(&u.stats)
+}
+
+// Close ends running requests and keeps the server down.
+func (u *Upstream) Close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.closed = true
+	if !u.down {
+		u.down = true
+		close(u.halted)
+	}
+}
+
+// ServeHTTP answers one request. While the server is down it closes the
+// connection without an answer.
+func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	u.mu.Lock()
+	down := u.down
+	u.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	u.mux.ServeHTTP(w, r)
+}
+
+// halt returns the channel that closes when the server goes down. A request
+// keeps the one of its arrival, so that it does not outlive a restart.
+func (u *Upstream) halt() <-chan struct{} {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.halted
+}
+
+// thaw waits until the server is not frozen. It aborts the connection when the
+// server goes down or ctx ends.
+func (u *Upstream) thaw(ctx context.Context, halted <-chan struct{}) {
+	u.mu.Lock()
+	thawed := u.thawed
+	u.mu.Unlock()
+	select {
+	case <-thawed:
+	case <-halted:
+		panic(http.ErrAbortHandler)
+	case <-ctx.Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// result tells how waiting or running ended.
+type result int
+
+const (
+	finished result = iota
+	cancelled
+	expired
+)
+
+// pause waits for duration. It aborts the connection when the server goes
+// down.
+func (u *Upstream) pause(ctx context.Context, halted <-chan struct{}, duration time.Duration, deadline <-chan time.Time) result {
+	if duration <= 0 {
+		return finished
+	}
+	timer := u.clock.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return finished
+	case <-deadline:
+		return expired
+	case <-ctx.Done():
+		return cancelled
+	case <-halted:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (u *Upstream) search(w http.ResponseWriter, r *http.Request) {
+	request, ok := u.receive(r.Context(), w, r)
+	if !ok {
+		return
+	}
+	defer request.stop()
+	request.shard = dcid.ShardID(r.PathValue("shard"))
+	if status := u.check(request); status != 0 {
+		u.refuse(w, status)
+		return
+	}
+	if !u.acquire(r.Context(), w, request) {
+		return
+	}
+	defer u.release()
+	u.count(func(s *Stats) { s.Searches++ })
+	u.runSearch(w, r, request)
+}
+
+// runSearch runs a search in its slot. A search stops at its deadline and when
+// the client cancels it.
+func (u *Upstream) runSearch(w http.ResponseWriter, r *http.Request, request *request) {
+	if u.crashes(request.body) {
+		u.crash()
+		panic(http.ErrAbortHandler)
+	}
+	begin := u.clock.Now()
+	switch u.pause(r.Context(), request.halted, u.serviceTime(), request.expired) {
+	case cancelled:
+		u.count(func(s *Stats) { s.Cancelled++ })
+		panic(http.ErrAbortHandler)
+	case expired:
+		http.Error(w, "deadline passed while the search ran", http.StatusGatewayTimeout)
+		return
+	}
+	u.thaw(r.Context(), request.halted)
+	request.runTime = u.clock.Since(begin)
+	u.answer(w, request, u.searchBody(request))
+}
+
+// check returns the status that refuses a search for labels that the server
+// does not hold, or 0.
+func (u *Upstream) check(request *request) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	shards, ok := u.maps[request.epoch]
+	if !ok {
+		return http.StatusConflict
+	}
+	if !slices.Contains(shards.Shards, request.shard) {
+		return http.StatusGone
+	}
+	if !slices.Contains(u.versions, request.version) {
+		return http.StatusConflict
+	}
+	return 0
+}
+
+func (u *Upstream) status(w http.ResponseWriter, r *http.Request) {
+	if !u.Faults().LyingStatus {
+		u.thaw(r.Context(), u.halt())
+	}
+	text, err := protojson.Marshal(u.Status())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(text)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+}
--- /dev/null
+++ b/internal/dcstore/fake.go
@@ -0,0 +1,266 @@
+package dcstore
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Call names a method of Store in the call counters.
+type Call string
+
+// Calls of a Store.
+const (
+	CallGet       Call = "get"
+	CallList      Call = "list"
+	CallSwap      Call = "compare-and-swap"
+	CallDelete    Call = "delete"
+	CallWait      Call = "wait"
+	CallGrant     Call = "grant-lease"
+	CallKeepAlive Call = "keep-alive"
+	CallRevoke    Call = "revoke"
+)
+
+// undoLimit bounds how many changes stale reads can go back.
+const undoLimit = 256
+
+// Fake is an in-memory Store with fault switches. Any number of instances may
+// share one Fake.
+type Fake struct {
+	clock clockwork.Clock
+
+	mu        sync.Mutex
+	revision  Revision
+	records   map[string]Record
+	leases    map[LeaseID]*fakeLease
+	keyLease  map[string]LeaseID
+	nextLease LeaseID
+	undo      []undoEntry
+	touched   map[string]Revision
+	changed   chan struct{}
+	calls     map[Call]int
+	faults    FakeFaults
+}
+
+// FakeFaults are the fault switches of a Fake.
+type FakeFaults struct {
+	// Outage makes every call fail with ErrUnavailable.
+	Outage bool
+	// Delay is the time that each call but Wait takes. A write whose context
+	// ends meanwhile still takes effect when the time is over.
+	Delay time.Duration
+	// LoseReplies is the number of writes that take effect and then return
+	// ErrUnknownOutcome.
+	LoseReplies int
+	// StaleAt makes Get and List answer as of this revision; 0 turns it off.
+	// At most the last 256 changes are hidden.
+	StaleAt Revision
+}
+
+type fakeLease struct {
+	lifetime time.Duration
+	expires  time.Time
+}
+
+type undoEntry struct {
+	revision Revision
+	key      string
+	before   Record
+	existed  bool
+}
+
+var _ Store = (*Fake)(nil)
+
+// NewFake returns an empty Fake whose leases follow clock.
+func NewFake(clock clockwork.Clock) *Fake {
+	return &Fake{
+		clock:    clock,
+		records:  make(map[string]Record),
+		leases:   make(map[LeaseID]*fakeLease),
+		keyLease: make(map[string]LeaseID),
+		touched:  make(map[string]Revision),
+		changed:  make(chan struct{}),
+		calls:    make(map[Call]int),
+	}
+}
+
+// SetFaults changes the fault switches.
+func (f *Fake) SetFaults(change func(*FakeFaults)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(&f.faults)
+	f.notify()
+}
+
+// Faults returns the fault switches.
+func (f *Fake) Faults() FakeFaults {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.faults
+}
+
+// Calls returns a copy of the call counters.
+func (f *Fake) Calls() map[Call]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	counts := make(map[Call]int, len(f.calls))
+	for call, count := range f.calls {
+		counts[call] = count
+	}
+	return counts
+}
+
+// Revision returns the newest modification revision.
+func (f *Fake) Revision() Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.expire()
+	return f.revision
+}
+
+// Get returns the record of a key, or ErrNotFound.
+func (f *Fake) Get(ctx context.Context, key string) (record Record, err error) {
+	err = f.read(ctx, CallGet, func() error {
+		found, ok := f.view()[key]
+		if !ok {
+			return ErrNotFound
+		}
+		record = clone(found)
+		return nil
+	})
+	return record, err
+}
+
+// List returns the records below a prefix, ordered by key.
+func (f *Fake) List(ctx context.Context, prefix string, limit int, descending bool) (records []Record, err error) {
+	err = f.read(ctx, CallList, func() error {
+		for key, record := range f.view() {
+			if strings.HasPrefix(key, prefix) {
+				records = append(records, clone(record))
+			}
+		}
+		slices.SortFunc(records, func(a, b Record) int { return strings.Compare(a.Key, b.Key) })
+		if descending {
+			slices.Reverse(records)
+		}
+		if limit > 0 && len(records) > limit {
+			records = records[:limit]
+		}
+		return nil
+	})
+	return records, err
+}
+
+// CompareAndSwap writes and returns the new modification revision.
+func (f *Fake) CompareAndSwap(ctx context.Context, swap Swap) (Revision, error) {
+	if len(swap.Value) > MaxValueBytes {
+		return 0, fmt.Errorf("value of %d bytes is over the limit of %d", len(swap.Value), MaxValueBytes)
+	}
+	swap.Value = slices.Clone(swap.Value)
+	return f.write(ctx, CallSwap, func() (Revision, error) {
+		if f.records[swap.Key].Modified != swap.Expected {
+			return 0, ErrConflict
+		}
+		if swap.Lease != 0 && f.leases[swap.Lease] == nil {
+			return 0, ErrLeaseExpired
+		}
+		f.put(swap)
+		return f.revision, nil
+	})
+}
+
+// Delete removes a key that has the given modification revision.
+func (f *Fake) Delete(ctx context.Context, key string, expected Revision) error {
+	if expected == 0 {
+		return errNoRevision
+	}
+	_, err := f.write(ctx, CallDelete, func() (Revision, error) {
+		record, ok := f.records[key]
+		if !ok {
+			return 0, ErrNotFound
+		}
+		if record.Modified != expected {
+			return 0, ErrConflict
+		}
+		f.remove(key)
+		return f.revision, nil
+	})
+	return err
+}
+
+// Wait returns when a key below prefix has changed after the given revision.
+func (f *Fake) Wait(ctx context.Context, prefix string, after Revision) (Revision, error) {
+	f.count(CallWait)
+	for {
+		revision, changed, err := f.look(prefix, after)
+		if err != nil || revision > after {
+			return revision, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return 0, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
+		}
+	}
+}
+
+func (f *Fake) look(prefix string, after Revision) (Revision, <-chan struct{}, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.expire()
+	if f.faults.Outage {
+		return 0, nil, ErrUnavailable
+	}
+	newest := Revision(0)
+	for key, revision := range f.touched {
+		if strings.HasPrefix(key, prefix) {
+			newest = max(newest, revision)
+		}
+	}
+	if newest <= after {
+		newest = 0
+	}
+	return newest, f.changed, nil
+}
+
+// GrantLease creates a lease.
+func (f *Fake) GrantLease(ctx context.Context, lifetime time.Duration) (LeaseID, error) {
+	id, err := f.write(ctx, CallGrant, func() (Revision, error) {
+		f.nextLease++
+		f.leases[f.nextLease] = &fakeLease{lifetime: lifetime, expires: f.clock.Now().Add(lifetime)}
+		f.clock.AfterFunc(lifetime, f.tick)
+		return Revision(f.nextLease), nil
+	})
+	return LeaseID(id), err
+}
+
+// KeepAlive renews a lease, or returns ErrLeaseExpired.
+func (f *Fake) KeepAlive(ctx context.Context, id LeaseID) error {
+	_, err := f.write(ctx, CallKeepAlive, func() (Revision, error) {
+		lease := f.leases[id]
+		if lease == nil {
+			return 0, ErrLeaseExpired
+		}
+		lease.expires = f.clock.Now().Add(lease.lifetime)
+		f.clock.AfterFunc(lease.lifetime, f.tick)
+		return 0, nil
+	})
+	return err
+}
+
+// Revoke ends a lease and removes its keys.
+func (f *Fake) Revoke(ctx context.Context, id LeaseID) error {
+	_, err := f.write(ctx, CallRevoke, func() (Revision, error) {
+		if f.leases[id] == nil {
+			return 0, ErrLeaseExpired
+		}
+		f.end(id)
+		return 0, nil
+	})
+	return err
+}
--- /dev/null
+++ b/internal/dcstore/gateway.go
@@ -0,0 +1,172 @@
+package dcstore
+
+// Gateway messages are the JSON forms of the etcd v3 API as its gateway
+// publishes them: keys and values in base64, 64-bit integers as strings. The
+// stand-in decodes the same types.
+
+// Sort orders and compare fields of the gateway.
+const (
+	SortAscend    = "ASCEND"
+	SortDescend   = "DESCEND"
+	TargetKey     = "KEY"
+	TargetMod     = "MOD"
+	TargetCreate  = "CREATE"
+	CompareEqual  = "EQUAL"
+	EventDelete   = "DELETE"
+	CodeNotFound  = 5
+	CodeExhausted = 8
+)
+
+// GatewayHeader is part of every answer.
+type GatewayHeader struct {
+	Revision int64 `json:"revision,string,omitempty"`
+}
+
+// GatewayRecord is a key with its value.
+type GatewayRecord struct {
+	Key            []byte `json:"key,omitempty"`
+	Value          []byte `json:"value,omitempty"`
+	CreateRevision int64  `json:"create_revision,string,omitempty"`
+	ModRevision    int64  `json:"mod_revision,string,omitempty"`
+	Lease          int64  `json:"lease,string,omitempty"`
+}
+
+// RangeRequest is the body of /v3/kv/range.
+type RangeRequest struct {
+	Key        []byte `json:"key,omitempty"`
+	RangeEnd   []byte `json:"range_end,omitempty"`
+	Limit      int64  `json:"limit,string,omitempty"`
+	SortOrder  string `json:"sort_order,omitempty"`
+	SortTarget string `json:"sort_target,omitempty"`
+}
+
+// RangeResponse answers a RangeRequest.
+type RangeResponse struct {
+	Header GatewayHeader   `json:"header"`
+	Kvs    []GatewayRecord `json:"kvs,omitempty"`
+	Count  int64           `json:"count,string,omitempty"`
+}
+
+// PutRequest writes one key within a transaction.
+type PutRequest struct {
+	Key   []byte `json:"key,omitempty"`
+	Value []byte `json:"value,omitempty"`
+	Lease int64  `json:"lease,string,omitempty"`
+}
+
+// DeleteRequest is the body of /v3/kv/deleterange.
+type DeleteRequest struct {
+	Key      []byte `json:"key,omitempty"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+// DeleteResponse answers a DeleteRequest.
+type DeleteResponse struct {
+	Header  GatewayHeader `json:"header"`
+	Deleted int64         `json:"deleted,string,omitempty"`
+}
+
+// Compare is one condition of a transaction.
+type Compare struct {
+	Result         string `json:"result,omitempty"`
+	Target         string `json:"target,omitempty"`
+	Key            []byte `json:"key,omitempty"`
+	ModRevision    int64  `json:"mod_revision,string,omitempty"`
+	CreateRevision int64  `json:"create_revision,string,omitempty"`
+}
+
+// Operation is one step of a transaction.
+type Operation struct {
+	Range  *RangeRequest  `json:"request_range,omitempty"`
+	Put    *PutRequest    `json:"request_put,omitempty"`
+	Delete *DeleteRequest `json:"request_delete_range,omitempty"`
+}
+
+// OperationResult answers an Operation.
+type OperationResult struct {
+	Range  *RangeResponse  `json:"response_range,omitempty"`
+	Delete *DeleteResponse `json:"response_delete_range,omitempty"`
+}
+
+// TxnRequest is the body of /v3/kv/txn.
+type TxnRequest struct {
+	Compare []Compare   `json:"compare,omitempty"`
+	Success []Operation `json:"success,omitempty"`
+	Failure []Operation `json:"failure,omitempty"`
+}
+
+// TxnResponse answers a TxnRequest.
+type TxnResponse struct {
+	Header    GatewayHeader     `json:"header"`
+	Succeeded bool              `json:"succeeded,omitempty"`
+	Responses []OperationResult `json:"responses,omitempty"`
+}
+
+// LeaseRequest is the body of the calls under /v3/lease; TTL in seconds.
+type LeaseRequest struct {
+	ID  int64 `json:"ID,string,omitempty"`
+	TTL int64 `json:"TTL,string,omitempty"`
+}
+
+// LeaseResponse answers a LeaseRequest; a TTL of 0 means that it expired.
+type LeaseResponse struct {
+	Header GatewayHeader `json:"header"`
+	ID     int64         `json:"ID,string,omitempty"`
+	TTL    int64         `json:"TTL,string,omitempty"`
+}
+
+// KeepAliveResponse is one message of the stream of /v3/lease/keepalive.
+type KeepAliveResponse struct {
+	Result LeaseResponse `json:"result"`
+}
+
+// WatchRequest is the body of /v3/watch.
+type WatchRequest struct {
+	Create WatchCreate `json:"create_request"`
+}
+
+// WatchCreate names the keys and the first revision to report.
+type WatchCreate struct {
+	Key           []byte `json:"key,omitempty"`
+	RangeEnd      []byte `json:"range_end,omitempty"`
+	StartRevision int64  `json:"start_revision,string,omitempty"`
+}
+
+// WatchResponse is one message of the stream of /v3/watch.
+type WatchResponse struct {
+	Result WatchResult `json:"result"`
+}
+
+// WatchResult holds changes, or tells why the watch ended.
+type WatchResult struct {
+	Header          GatewayHeader `json:"header"`
+	Created         bool          `json:"created,omitempty"`
+	Canceled        bool          `json:"canceled,omitempty"`
+	CompactRevision int64         `json:"compact_revision,string,omitempty"`
+	Events          []WatchEvent  `json:"events,omitempty"`
+}
+
+// WatchEvent is one change.
+type WatchEvent struct {
+	Type string        `json:"type,omitempty"`
+	Kv   GatewayRecord `json:"kv"`
+}
+
+// GatewayError is the body of an answer with an error status.
+type GatewayError struct {
+	Error   string `json:"error"`
+	Message string `json:"message"`
+	Code    int    `json:"code"`
+}
+
+// PrefixEnd returns the end of the range of keys below a prefix.
+func PrefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
--- /dev/null
+++ b/internal/dcstore/transport.go
@@ -0,0 +1,146 @@
+package dcstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// kind says how a lost reply is classified.
+type kind int
+
+const (
+	read kind = iota
+	write
+)
+
+// lost returns the class of a call whose request may have reached the service.
+func (k kind) lost() error {
+	if k == write {
+		return ErrUnknownOutcome
+	}
+	return ErrUnavailable
+}
+
+// call sends one request within the timeout and decodes the whole answer,
+// which leaves the connection free for the next call.
+func (c *Client) call(ctx context.Context, k kind, path string, request, answer any) error {
+	ctx, cancel := clockwork.WithTimeout(ctx, c.clock(), c.timeout())
+	defer cancel()
+	response, err := c.send(ctx, k, path, request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Errorf("%w: read answer: %w", k.lost(), err)
+	}
+	if err := json.Unmarshal(text, answer); err != nil {
+		return fmt.Errorf("%w: decode answer: %w", k.lost(), err)
+	}
+	return nil
+}
+
+// first sends one request within the timeout and decodes the first message of
+// the stream that answers it. The stream need not end.
+func (c *Client) first(ctx context.Context, k kind, path string, request, answer any) error {
+	ctx, cancel := clockwork.WithTimeout(ctx, c.clock(), c.timeout())
+	defer cancel()
+	response, err := c.send(ctx, k, path, request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
+		return fmt.Errorf("%w: read stream: %w", k.lost(), err)
+	}
+	return nil
+}
+
+// send tries the endpoints in turn as long as nothing was written. The caller
+// closes the body of the answer.
+func (c *Client) send(ctx context.Context, k kind, path string, request any) (*http.Response, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, err
+	}
+	if len(c.Endpoints) == 0 {
+		return nil, errors.New("no endpoint configured; set the endpoints of the store")
+	}
+	failed := ErrUnavailable
+	for range c.Endpoints {
+		index := c.preferred.Load()
+		endpoint := c.Endpoints[index%uint32(len(c.Endpoints))]
+		response, written, err := c.post(ctx, endpoint+path, body)
+		if err == nil {
+			return checkStatus(k, response)
+		}
+		c.preferred.CompareAndSwap(index, index+1)
+		if written {
+			return nil, fmt.Errorf("%w: %w", k.lost(), err)
+		}
+		failed = fmt.Errorf("%w: %w", ErrUnavailable, err)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, failed
+}
+
+// post sends one request and reports whether any part of it may have been
+// written. The transport resends a POST only when it has written nothing, so
+// each new connection attempt resets the flag. The headers are smaller than
+// the transport's write buffer: no byte is sent before WroteHeaders.
+func (c *Client) post(ctx context.Context, url string, body []byte) (response *http.Response, written bool, err error) {
+	var wrote atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GetConn:      func(string) { wrote.Store(false) },
+		WroteHeaders: func() { wrote.Store(true) },
+	}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, false, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err = c.HTTP.Do(request)
+	return response, wrote.Load(), err
+}
+
+// checkStatus turns an error status into an error. A server error leaves the
+// outcome of a write open: the service also gives it when it lost its leader
+// after it had proposed the write.
+func checkStatus(k kind, response *http.Response) (*http.Response, error) {
+	if response.StatusCode == http.StatusOK {
+		return response, nil
+	}
+	defer response.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	var failure GatewayError
+	_ = json.Unmarshal(text, &failure)
+	detail := failure.Message
+	if detail == "" {
+		detail = strings.TrimSpace(failure.Error)
+	}
+	err := fmt.Errorf("status %d: %s", response.StatusCode, detail)
+	switch {
+	case response.StatusCode == http.StatusNotFound && failure.Code == CodeNotFound:
+		return nil, fmt.Errorf("%w: %w", ErrLeaseExpired, err)
+	case response.StatusCode == http.StatusTooManyRequests:
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	case response.StatusCode >= http.StatusInternalServerError,
+		response.StatusCode == http.StatusRequestTimeout,
+		response.StatusCode == statusClientClosed:
+		return nil, fmt.Errorf("%w: %w", k.lost(), err)
+	}
+	return nil, err
+}
