--- /dev/null
+++ b/internal/dcstandin/fleet.go
@@ -0,0 +1,234 @@
+package dcstandin
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dandelioncart/dandelioncart/internal/dchostlist"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+	standinv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/standin/v1"
+)
+
+// FirstEpoch is the map epoch of every service at the start.
+const FirstEpoch dcid.MapEpoch = 1
+
+// defaultDomain is used when a profile names no failure domain.
+const defaultDomain = "local"
+
+// Fleet is the platform with all upstream servers of a profile.
+type Fleet struct {
+	Platform *Platform
+	Journal  *Journal
+
+	clock    clockwork.Clock
+	groups   []dcid.GroupName
+	services map[dcid.GroupName][]dcid.ServiceName
+	servers  []*UpstreamServer
+}
+
+// Selector picks servers; an empty field matches all.
+type Selector struct {
+	Group         dcid.GroupName
+	Service       dcid.ServiceName
+	Server        dcid.ServerAddr
+	FailureDomain dcid.FailureDomain
+}
+
+// NewFleet builds the stand-ins of a profile. Nothing listens yet.
+func NewFleet(profile *standinv1.Profile, clock clockwork.Clock) (*Fleet, error) {
+	fleet := &Fleet{
+		Platform: NewPlatform(clock),
+		Journal:  NewJournal(),
+		clock:    clock,
+		services: make(map[dcid.GroupName][]dcid.ServiceName),
+	}
+	listen(fleet.Platform.StoreServer, profile.GetStoreListen())
+	listen(fleet.Platform.HostServer, profile.GetHostListListen())
+	var failures []error
+	for _, group := range profile.GetGroups() {
+		if err := checkGroup(group); err != nil {
+			failures = append(failures, err)
+			continue
+		}
+		fleet.addGroup(profile, group)
+	}
+	return fleet, errors.Join(failures...)
+}
+
+func listen(server *Server, address string) {
+	if address != "" {
+		server.Address = address
+	}
+}
+
+func checkGroup(group *standinv1.Group) error {
+	switch {
+	case group.GetName() == "":
+		return errors.New("group without a name; set name")
+	case group.GetServices() < 1 || group.GetServers() < 1:
+		return fmt.Errorf("group %s: set services and servers to 1 or more", group.GetName())
+	case group.GetStragglerProbability() < 0 || group.GetStragglerProbability() > 1:
+		return fmt.Errorf("group %s: set straggler-probability between 0 and 1", group.GetName())
+	}
+	return nil
+}
+
+func (f *Fleet) addGroup(profile *standinv1.Profile, group *standinv1.Group) {
+	name := dcid.GroupName(group.GetName())
+	f.groups = append(f.groups, name)
+	port := int(group.GetFirstPort())
+	for number := range int(group.GetServices()) {
+		service := serviceName(group, number)
+		f.services[name] = append(f.services[name], service)
+		for index := range int(group.GetServers()) {
+			config := serverConfig(profile, group, index)
+			config.Service = service
+			config.Address = serverAddress(profile, port)
+			config.Seed = uint64(profile.GetSeed())<<32 + uint64(len(f.servers))
+			f.addServer(config, group.GetVersions())
+			if port > 0 {
+				port++
+			}
+		}
+		f.Repartition(name, service, FirstEpoch, int(group.GetServers()))
+	}
+}
+
+func serviceName(group *standinv1.Group, number int) dcid.ServiceName {
+	if group.GetServices() == 1 {
+		return dcid.ServiceName(group.GetName())
+	}
+	return dcid.ServiceName(fmt.Sprintf("%s-%02d", group.GetName(), number+1))
+}
+
+func serverConfig(profile *standinv1.Profile, group *standinv1.Group, index int) UpstreamConfig {
+	domain := defaultDomain
+	if domains := profile.GetFailureDomains(); len(domains) > 0 {
+		domain = domains[index%len(domains)]
+	}
+	return UpstreamConfig{
+		Group:                dcid.GroupName(group.GetName()),
+		FailureDomain:        dcid.FailureDomain(domain),
+		Slots:                int(group.GetSlots()),
+		QueueLimit:           int(group.GetQueueLimit()),
+		Connections:          int(group.GetConnections()),
+		ConnectTime:          group.GetConnectTime().AsDuration(),
+		BaseTime:             group.GetBaseTime().AsDuration(),
+		StragglerProbability: group.GetStragglerProbability(),
+		StragglerFactor:      group.GetStragglerFactor(),
+	}
+}
+
+func serverAddress(profile *standinv1.Profile, port int) dcid.ServerAddr {
+	ip := profile.GetUpstreamIp()
+	if ip == "" {
+		ip = "127.0.0.1"
+	}
+	return dcid.ServerAddr(net.JoinHostPort(ip, strconv.Itoa(port)))
+}
+
+func (f *Fleet) addServer(config UpstreamConfig, versions []string) {
+	upstream := NewUpstream(config, f.clock, f.Journal)
+	for _, version := range versions {
+		upstream.AddVersion(dcid.IndexVersion(version))
+	}
+	f.servers = append(f.servers, NewUpstreamServer(upstream))
+}
+
+// Start listens on every address and lists the servers as live.
+func (f *Fleet) Start() error {
+	if err := f.Platform.Start(); err != nil {
+		return err
+	}
+	for _, server := range f.servers {
+		if err := server.Start(); err != nil {
+			return err
+		}
+	}
+	f.Platform.Hosts.Update(func(hosts []dchostlist.Host) []dchostlist.Host {
+		for _, server := range f.servers {
+			hosts = append(hosts, dchostlist.Host{Address: server.Server.Addr(), State: dchostlist.Live})
+		}
+		return hosts
+	})
+	return nil
+}
+
+// Close stops every stand-in.
+func (f *Fleet) Close() {
+	for _, server := range f.servers {
+		server.Close()
+	}
+	f.Platform.Close()
+}
+
+// Select returns the matching servers in the order of the profile.
+func (f *Fleet) Select(selector Selector) (servers []*UpstreamServer) {
+	for _, server := range f.servers {
+		if selector.matches(server.Config()) {
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
+
+func (s Selector) matches(config UpstreamConfig) bool {
+	return (s.Group == "" || s.Group == config.Group) &&
+		(s.Service == "" || s.Service == config.Service) &&
+		(s.Server == "" || s.Server == config.Address) &&
+		(s.FailureDomain == "" || s.FailureDomain == config.FailureDomain)
+}
+
+// Repartition gives the servers of a service the maps of a new epoch. Earlier
+// epochs stay until they are dropped.
+func (f *Fleet) Repartition(group dcid.GroupName, service dcid.ServiceName, epoch dcid.MapEpoch, total int) {
+	servers := f.Select(Selector{Group: group, Service: service})
+	domains := make([]dcid.FailureDomain, 0, len(servers))
+	for _, server := range servers {
+		domains = append(domains, server.Config().FailureDomain)
+	}
+	for i, shards := range Replicas(total, domains) {
+		servers[i].SetMap(ShardMap{Epoch: epoch, Total: total, Shards: shards})
+	}
+}
+
+// Services returns the services of a group.
+func (f *Fleet) Services(group dcid.GroupName) []dcid.ServiceName {
+	return f.services[group]
+}
+
+// Ready lists the addresses once everything listens.
+func (f *Fleet) Ready() *standinv1.Ready {
+	ready := &standinv1.Ready{Store: f.Platform.StoreURL(), HostList: f.Platform.HostListURL()}
+	for _, group := range f.groups {
+		entry := &standinv1.ReadyGroup{Name: string(group)}
+		for _, service := range f.services[group] {
+			servers := f.Select(Selector{Group: group, Service: service})
+			entry.Services = append(entry.Services, readyService(service, servers))
+		}
+		ready.Groups = append(ready.Groups, entry)
+	}
+	return ready
+}
+
+// readyService lists servers by failure domain in the order of the profile.
+func readyService(name dcid.ServiceName, servers []*UpstreamServer) *settingsv1.Service {
+	service := &settingsv1.Service{Name: string(name)}
+	byDomain := make(map[dcid.FailureDomain]*settingsv1.Upstream)
+	for _, server := range servers {
+		config := server.Config()
+		upstream := byDomain[config.FailureDomain]
+		if upstream == nil {
+			upstream = &settingsv1.Upstream{FailureDomain: string(config.FailureDomain)}
+			byDomain[config.FailureDomain] = upstream
+			service.Upstreams = append(service.Upstreams, upstream)
+		}
+		upstream.Servers = append(upstream.Servers, server.Server.Addr())
+	}
+	return service
+}
--- /dev/null
+++ b/internal/dcstandin/report.go
@@ -0,0 +1,50 @@
+package dcstandin
+
+import (
+	standinv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/standin/v1"
+)
+
+// Report returns the counters of the selected servers, and of the journal and
+// the store as a whole.
+func (f *Fleet) Report(selector Selector) *standinv1.Report {
+	report := &standinv1.Report{
+		OrdersRun:  int32(f.Journal.Orders()),
+		StoreCalls: make(map[string]int32),
+	}
+	for _, server := range f.Select(selector) {
+		report.Servers = append(report.Servers, server.report())
+	}
+	for _, key := range f.Journal.Duplicates() {
+		report.Duplicates = append(report.Duplicates, f.duplicate(key))
+	}
+	for call, count := range f.Platform.Store.Calls() {
+		report.StoreCalls[string(call)] = int32(count)
+	}
+	return report
+}
+
+func (f *Fleet) duplicate(key JournalKey) *standinv1.DuplicateOrder {
+	order := &standinv1.DuplicateOrder{Department: string(key.Department), Key: string(key.Key)}
+	for _, server := range f.Journal.Runs(key) {
+		order.Servers = append(order.Servers, string(server))
+	}
+	return order
+}
+
+func (s *UpstreamServer) report() *standinv1.ServerReport {
+	config, stats, connections := s.Config(), s.Stats(), s.Server.Stats()
+	return &standinv1.ServerReport{
+		Server:            string(config.Address),
+		ServiceGroup:      string(config.Group),
+		Service:           string(config.Service),
+		FailureDomain:     string(config.FailureDomain),
+		Searches:          int32(stats.Searches),
+		Orders:            int32(stats.Orders),
+		Refused:           int32(stats.Refused),
+		Cancelled:         int32(stats.Cancelled),
+		Crashes:           int32(stats.Crashes),
+		OpenConnections:   int32(connections.Open),
+		PeakConnections:   int32(connections.Peak),
+		ExcessConnections: int32(connections.Excess),
+	}
+}
--- /dev/null
+++ b/internal/dcstore/classify_test.go
@@ -0,0 +1,190 @@
+package dcstore_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcstandin"
+	"github.com/dandelioncart/dandelioncart/internal/dcstore"
+)
+
+// refusedAddress returns the URL of a port on which nothing listens.
+func refusedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return "http://" + listener.Addr().String()
+}
+
+func answering(t *testing.T, handler http.HandlerFunc) string {
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func status(code int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(code)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func abort(http.ResponseWriter, *http.Request) {
+	panic(http.ErrAbortHandler)
+}
+
+// cut sends part of an answer and then closes the connection.
+func cut(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, `{"succeeded":true`)
+	panic(http.ErrAbortHandler)
+}
+
+// TestClassification guards against a write that may have happened being
+// reported as not happened, which would let an order run twice, and against
+// the reverse, which would leave orders unknown without need.
+func TestClassification(t *testing.T) {
+	unavailable, unknown := dcstore.ErrUnavailable, dcstore.ErrUnknownOutcome
+	cases := []struct {
+		name        string
+		endpoint    func(*testing.T) string
+		read, write error
+	}{
+		{"refused", refusedAddress, unavailable, unavailable},
+		{"closed after write", func(t *testing.T) string { return answering(t, abort) }, unavailable, unknown},
+		{"cut answer", func(t *testing.T) string { return answering(t, cut) }, unavailable, unknown},
+		{"no JSON", func(t *testing.T) string { return answering(t, status(200, "<html>")) }, unavailable, unknown},
+		{"server error", func(t *testing.T) string { return answering(t, status(503, `{"code":14}`)) }, unavailable, unknown},
+		{"too many requests", func(t *testing.T) string { return answering(t, status(429, `{"code":8}`)) }, unavailable, unavailable},
+		{"lease not found", func(t *testing.T) string { return answering(t, status(404, `{"code":5}`)) }, dcstore.ErrLeaseExpired, dcstore.ErrLeaseExpired},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ctx := context.Background()
+			client := dcstore.NewClient([]string{c.endpoint(t)}, time.Minute, "")
+			defer client.Close()
+			_, err := client.Get(ctx, "a")
+			want(t, err, c.read)
+			_, err = client.Wait(ctx, "a", 0)
+			want(t, err, c.read)
+			_, err = client.CompareAndSwap(ctx, dcstore.Swap{Key: "a"})
+			want(t, err, c.write)
+			want(t, client.Delete(ctx, "a", 1), c.write)
+			_, err = client.GrantLease(ctx, time.Second)
+			want(t, err, c.write)
+			want(t, client.KeepAlive(ctx, 1), c.write)
+			want(t, client.Revoke(ctx, 1), c.write)
+		})
+	}
+}
+
+// TestMalformedCall guards against a refused call being taken for an outage.
+func TestMalformedCall(t *testing.T) {
+	client := dcstore.NewClient([]string{answering(t, status(400, `{"code":3,"message":"bad key"}`))}, time.Minute, "")
+	defer client.Close()
+	_, err := client.CompareAndSwap(context.Background(), dcstore.Swap{Key: "a"})
+	if err == nil || errors.Is(err, dcstore.ErrUnavailable) || errors.Is(err, dcstore.ErrUnknownOutcome) {
+		t.Errorf("error is %v, want the service's refusal", err)
+	}
+}
+
+// TestNextEndpoint guards against a write being sent to a second endpoint when
+// the first may have applied it.
+func TestNextEndpoint(t *testing.T) {
+	var calls atomic.Int32
+	counted := func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		status(200, `{"header":{"revision":"5"},"succeeded":true}`)(w, nil)
+	}
+	cases := []struct {
+		name  string
+		first func(*testing.T) string
+		calls int32
+		err   error
+	}{
+		{"refused", refusedAddress, 1, nil},
+		{"closed after write", func(t *testing.T) string { return answering(t, abort) }, 0, dcstore.ErrUnknownOutcome},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			calls.Store(0)
+			client := dcstore.NewClient([]string{c.first(t), answering(t, counted)}, time.Minute, "")
+			defer client.Close()
+			_, err := client.CompareAndSwap(context.Background(), dcstore.Swap{Key: "a"})
+			want(t, err, c.err)
+			if got := calls.Load(); got != c.calls {
+				t.Errorf("second endpoint got %d calls, want %d", got, c.calls)
+			}
+			_, err = client.CompareAndSwap(context.Background(), dcstore.Swap{Key: "a"})
+			want(t, err, nil)
+		})
+	}
+}
+
+// TestTimeout guards against a call that outlives its timeout, and against a
+// Wait that the timeout ends.
+func TestTimeout(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	arrived := make(chan struct{}, 2)
+	release := make(chan struct{})
+	url := answering(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		arrived <- struct{}{}
+		<-release
+	})
+	defer close(release)
+	client := dcstore.NewClient([]string{url}, time.Minute, "")
+	client.Clock = clock
+	waiting, stopWaiting := context.WithCancel(context.Background())
+	waited := make(chan error, 1)
+	go func() {
+		_, err := client.Wait(waiting, "a", 0)
+		waited <- err
+	}()
+	<-arrived
+	swapped := make(chan error, 1)
+	go func() {
+		_, err := client.CompareAndSwap(context.Background(), dcstore.Swap{Key: "a"})
+		swapped <- err
+	}()
+	<-arrived
+	clock.Advance(time.Minute)
+	want(t, <-swapped, dcstore.ErrUnknownOutcome)
+	select {
+	case err := <-waited:
+		t.Errorf("wait ended with the timeout of other calls: %v", err)
+	default:
+	}
+	stopWaiting()
+	want(t, <-waited, dcstore.ErrUnavailable)
+}
+
+// TestLostReplyOverGateway guards against a stand-in whose lost reply differs
+// from a real one: the write is there, and the client cannot know.
+func TestLostReplyOverGateway(t *testing.T) {
+	fake := dcstore.NewFake(clockwork.NewFakeClock())
+	server := httptest.NewServer(dcstandin.NewGateway(fake))
+	defer server.Close()
+	client := dcstore.NewClient([]string{server.URL}, time.Minute, "")
+	defer client.Close()
+	fake.SetFaults(func(f *dcstore.FakeFaults) { f.LoseReplies = 1 })
+	_, err := client.CompareAndSwap(context.Background(), dcstore.Swap{Key: "a", Value: []byte("1")})
+	want(t, err, dcstore.ErrUnknownOutcome)
+	record, err := client.Get(context.Background(), "a")
+	want(t, err, nil)
+	if string(record.Value) != "1" {
+		t.Errorf("value is %q, want the lost write", record.Value)
+	}
+}
