Implement strict settings, credential digests and the configuration chain

Settings are walked as yaml.Node trees against the descriptors, since yaml.Unmarshal into Go types stops at the first error of a value and loses the field path. A proposal can only become its base revision plus one, so a resend is decided by reading that one key; scanning the recent chain was ruled out, because it reads whole documents and misses older resends.

--- /dev/null
+++ b/internal/dcauth/digest.go
@@ -0,0 +1,144 @@
+package dcauth
+
+import (
+	"crypto/subtle"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/crypto/argon2"
+)
+
+// Bounds of the parameters of a digest. The upper bounds limit what one
+// verification may cost a host.
+const (
+	maxMemoryKiB  = 64 << 10
+	maxTime       = 8
+	maxThreads    = 4
+	minSaltBytes  = 8
+	maxSaltBytes  = 64
+	minHashBytes  = 16
+	maxHashBytes  = 64
+	maxDigestText = 256
+)
+
+// Limits of a credential in bytes.
+const (
+	MinCredentialBytes = 8
+	MaxCredentialBytes = 1024
+)
+
+// digest is a parsed argon2id digest.
+type digest struct {
+	memory  uint32
+	time    uint32
+	threads uint8
+	salt    []byte
+	hash    []byte
+}
+
+// recommended holds the first argon2id parameters that OWASP's Password
+// Storage Cheat Sheet lists: 19 MiB, 2 passes, 1 thread.
+var recommended = digest{
+	memory:  19 << 10,
+	time:    2,
+	threads: 1,
+	salt:    make([]byte, 16),
+	hash:    make([]byte, 32),
+}
+
+// NewDigest returns the argon2id digest of a credential in PHC form. The salt
+// is read from random, which must be cryptographically secure.
+func NewDigest(random io.Reader, credential string) (text string, err error) {
+	defer func() { err = eris.Wrap(err, "make digest") }()
+	if len(credential) < MinCredentialBytes || len(credential) > MaxCredentialBytes {
+		return "", fmt.Errorf("credential must have %d to %d bytes", MinCredentialBytes, MaxCredentialBytes)
+	}
+	return recommended.derive(random, credential)
+}
+
+// derive returns the digest of a credential with the parameters and lengths of
+// a template.
+func (d digest) derive(random io.Reader, credential string) (string, error) {
+	d.salt = make([]byte, len(d.salt))
+	if _, err := io.ReadFull(random, d.salt); err != nil {
+		return "", err
+	}
+	d.hash = d.hashOf(credential)
+	return d.text(), nil
+}
+
+func (d digest) hashOf(credential string) []byte {
+	return argon2.IDKey([]byte(credential), d.salt, d.time, d.memory, d.threads, uint32(len(d.hash)))
+}
+
+func (d digest) text() string {
+	encode := base64.RawStdEncoding.EncodeToString
+	return fmt.Sprintf("$argon2id$v=%d$m=%d,t=%d,p=%d$%s$%s", argon2.Version, d.memory, d.time, d.threads, encode(d.salt), encode(d.hash))
+}
+
+// matches compares in constant time.
+func (d digest) matches(credential string) bool {
+	return subtle.ConstantTimeCompare(d.hashOf(credential), d.hash) == 1
+}
+
+// CheckDigest reports why a text is not a usable digest. The error does not
+// repeat the text, which could be a credential given by mistake.
+func CheckDigest(text string) error {
+	_, err := parseDigest(text)
+	return err
+}
+
+// Verify reports whether a credential has the digest. It takes tens of
+// milliseconds; use an Authenticator where many requests are checked.
+func Verify(text, credential string) bool {
+	parsed, err := parseDigest(text)
+	if err != nil || len(credential) > MaxCredentialBytes {
+		return false
+	}
+	return parsed.matches(credential)
+}
+
+func parseDigest(text string) (parsed digest, err error) {
+	malformed := errors.New("is not an argon2id digest of the form $argon2id$v=19$m=,t=,p=$salt$hash")
+	parts := strings.Split(text, "$")
+	if len(text) > maxDigestText || len(parts) != 6 || parts[0] != "" || parts[1] != "argon2id" {
+		return digest{}, malformed
+	}
+	if parts[2] != fmt.Sprintf("v=%d", argon2.Version) {
+		return digest{}, fmt.Errorf("has another argon2 version than %d", argon2.Version)
+	}
+	if _, err := fmt.Sscanf(parts[3], "m=%d,t=%d,p=%d", &parsed.memory, &parsed.time, &parsed.threads); err != nil {
+		return digest{}, malformed
+	}
+	if parsed.salt, err = base64.RawStdEncoding.DecodeString(parts[4]); err != nil {
+		return digest{}, malformed
+	}
+	if parsed.hash, err = base64.RawStdEncoding.DecodeString(parts[5]); err != nil {
+		return digest{}, malformed
+	}
+	// The text form is compared so that no second spelling of a digest exists.
+	if parsed.text() != text {
+		return digest{}, malformed
+	}
+	return parsed, parsed.checkBounds()
+}
+
+func (d digest) checkBounds() error {
+	switch {
+	case d.threads < 1 || d.threads > maxThreads:
+		return fmt.Errorf("p must be between 1 and %d", maxThreads)
+	case d.time < 1 || d.time > maxTime:
+		return fmt.Errorf("t must be between 1 and %d", maxTime)
+	case d.memory < 8*uint32(d.threads) || d.memory > maxMemoryKiB:
+		return fmt.Errorf("m must be between 8 times p and %d", maxMemoryKiB)
+	case len(d.salt) < minSaltBytes || len(d.salt) > maxSaltBytes:
+		return fmt.Errorf("salt must have %d to %d bytes", minSaltBytes, maxSaltBytes)
+	case len(d.hash) < minHashBytes || len(d.hash) > maxHashBytes:
+		return fmt.Errorf("hash must have %d to %d bytes", minHashBytes, maxHashBytes)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dcconfig/accept.go
@@ -0,0 +1,191 @@
+package dcconfig
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	"github.com/dandelioncart/dandelioncart/internal/dcsettings"
+	"github.com/dandelioncart/dandelioncart/internal/dcstore"
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+	ledgerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/ledger/v1"
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+)
+
+const (
+	maxOperationIDBytes = 64
+	maxCommentBytes     = 1024
+)
+
+// Proposal is a configuration that an authenticated department proposes.
+type Proposal struct {
+	Author  dcid.Department
+	Request *callerv1.ApplyRequest
+}
+
+// Result tells what became of a proposal.
+type Result struct {
+	Outcome dcreason.Outcome
+	Code    dcreason.Code
+	Message string
+	// Revision that the proposal became, or the newest one otherwise.
+	Revision dcid.Revision
+	// Errors holds the faults of the document, for ConfigInvalid.
+	Errors dcsettings.Errors
+	// Accepted is set when Outcome is Ran; offer it to the Adopter.
+	Accepted *Accepted
+}
+
+// Response returns the answer for the caller; the result's request and host
+// are left to the host.
+func (r *Result) Response() *callerv1.ApplyResponse {
+	return &callerv1.ApplyResponse{
+		Result: &callerv1.Result{
+			Outcome:   string(r.Outcome),
+			Reason:    string(r.Code),
+			DecidedBy: string(r.Code.Place()),
+			Message:   r.Message,
+		},
+		Revision: uint32(r.Revision),
+		Errors:   r.Errors.Proto(),
+	}
+}
+
+// Accept decides a proposal against the head of the chain, nil when the chain
+// is empty. It returns either the next revision, which is accepted once it is
+// stored, or the refusal.
+func Accept(head *Accepted, proposal Proposal, now time.Time) (*Accepted, *Result) {
+	newest := revisionOf(head)
+	if refusal := checkRequest(proposal, newest); refusal != nil {
+		return nil, refusal
+	}
+	document := proposal.Request.GetDocument()
+	configuration, err := dcsettings.ParseConfiguration(documentName, []byte(document))
+	if err != nil {
+		refusal := refuse(newest, dcreason.ConfigInvalid, "document has errors; correct them and apply again")
+		if !errors.As(err, &refusal.Errors) {
+			refusal.Message = err.Error()
+		}
+		return nil, refusal
+	}
+	changed, refusal := authorise(head, configuration, proposal)
+	if refusal != nil {
+		return nil, refusal
+	}
+	next := build(head, configuration, proposal, changed, now)
+	if size := len(encode(next.Record)); size > dcstore.MaxValueBytes {
+		return nil, refuse(newest, dcreason.ConfigInvalid, fmt.Sprintf("document needs %d bytes, the store holds %d; shorten it", size, dcstore.MaxValueBytes))
+	}
+	return next, nil
+}
+
+func checkRequest(proposal Proposal, newest dcid.Revision) *Result {
+	request := proposal.Request
+	id := request.GetOperationId()
+	if id == "" || len(id) > maxOperationIDBytes {
+		return refuse(newest, dcreason.BadRequest, fmt.Sprintf("operation-id must have 1 to %d bytes", maxOperationIDBytes))
+	}
+	if len(request.GetComment()) > maxCommentBytes {
+		return refuse(newest, dcreason.BadRequest, fmt.Sprintf("comment is longer than %d bytes", maxCommentBytes))
+	}
+	for _, text := range []string{id, request.GetComment(), request.GetDocument(), string(proposal.Author)} {
+		if !utf8.ValidString(text) {
+			return refuse(newest, dcreason.BadRequest, "request holds text that is not UTF-8")
+		}
+	}
+	if dcid.Revision(request.GetBaseRevision()) != newest {
+		return conflict(request.GetBaseRevision(), newest, nil)
+	}
+	return nil
+}
+
+// authorise returns the changed sections, or a refusal that names every
+// section that the author may not change.
+func authorise(head *Accepted, next *settingsv1.Configuration, proposal Proposal) ([]string, *Result) {
+	newest := revisionOf(head)
+	// The departments of the first revision decide about it; the host has
+	// checked the bootstrap credential.
+	authority := next
+	if head != nil {
+		authority = head.Configuration
+	}
+	author := departmentsByName(authority)[string(proposal.Author)]
+	if author == nil {
+		return nil, refuse(newest, dcreason.DepartmentDenied, fmt.Sprintf("department %s is not in revision %d", proposal.Author, newest))
+	}
+	if head == nil {
+		if !author.GetAdministrator() {
+			return nil, refuse(newest, dcreason.DepartmentDenied, "the first revision must come from an administrator department")
+		}
+		return sections(differences(nil, next)), nil
+	}
+	changes := differences(head.Configuration, next)
+	var refusals []string
+	for _, found := range changes {
+		if found.section == partitionsSection {
+			return nil, refuse(newest, dcreason.ConfigInvalid, "ledger-partitions cannot change after the first revision, since orders could run twice")
+		}
+		if !found.permits(proposal.Author, author.GetAdministrator()) {
+			refusals = append(refusals, found.refusal(proposal.Author))
+		}
+	}
+	if len(refusals) > 0 {
+		return nil, refuse(newest, dcreason.DepartmentDenied, strings.Join(refusals, "; "))
+	}
+	if len(changes) == 0 {
+		return []string{textSection}, nil
+	}
+	return sections(changes), nil
+}
+
+func build(head *Accepted, configuration *settingsv1.Configuration, proposal Proposal, changed []string, now time.Time) *Accepted {
+	revision := revisionOf(head) + 1
+	record := &ledgerv1.ConfigRevision{
+		Revision:    uint32(revision),
+		OperationId: proposal.Request.GetOperationId(),
+		Department:  string(proposal.Author),
+		AcceptedMs:  now.UnixMilli(),
+		Comment:     proposal.Request.GetComment(),
+		Document:    proposal.Request.GetDocument(),
+		Changed:     changed,
+	}
+	if head != nil {
+		record.PreviousDigest = head.Record.GetDigest()
+	}
+	record.Digest = digestOf(record)
+	return &Accepted{
+		Revision:      revision,
+		Record:        record,
+		Configuration: configuration,
+	}
+}
+
+func revisionOf(accepted *Accepted) dcid.Revision {
+	if accepted == nil {
+		return 0
+	}
+	return accepted.Revision
+}
+
+func refuse(newest dcid.Revision, code dcreason.Code, message string) *Result {
+	return &Result{
+		Outcome:  dcreason.NotRun,
+		Code:     code,
+		Message:  message,
+		Revision: newest,
+	}
+}
+
+// conflict names the revision that the document was edited from and the
+// current one, and who made the revision that came first, when it is known.
+func conflict(base uint32, current dcid.Revision, winner *ledgerv1.ConfigRevision) *Result {
+	message := fmt.Sprintf("document was edited from revision %d, but revision %d is current; nothing was changed; get it, repeat the edit and apply again", base, current)
+	if winner != nil {
+		message += fmt.Sprintf(" (revision %d was made by %s)", winner.GetRevision(), winner.GetDepartment())
+	}
+	return refuse(current, dcreason.ConfigConflict, message)
+}
--- /dev/null
+++ b/internal/dcconfig/chain.go
@@ -0,0 +1,110 @@
+// Package dcconfig decides which configurations are accepted and which
+// revision a host has in force. It makes no calls and reads no clock; the host
+// makes the store and peer calls that it asks for.
+//
+// Accepted configurations form a chain of store keys. Revision n+1 is accepted
+// when its key is created by compare-and-swap from absent, so that one swap
+// decides a race between operators.
+package dcconfig
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcsettings"
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+	ledgerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/ledger/v1"
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+)
+
+// Prefix is the key prefix of the revision chain, below the store prefix of
+// the host settings.
+const Prefix = "config/revisions/"
+
+// documentName stands for the file in faults of a document that came over the
+// network.
+const documentName = "document"
+
+// ErrDamaged reports a record whose digest does not match its content.
+var ErrDamaged = errors.New("configuration record is damaged")
+
+// Key returns the store key of a revision. Zero-padding makes the order of
+// keys the order of revisions.
+func Key(revision dcid.Revision) string {
+	return fmt.Sprintf("%s%010d", Prefix, revision)
+}
+
+// Accepted is one accepted revision with its parsed document. It is shared and
+// must not be changed.
+type Accepted struct {
+	Revision      dcid.Revision
+	Record        *ledgerv1.ConfigRevision
+	Configuration *settingsv1.Configuration
+}
+
+// Decode checks a store value.
+func Decode(value []byte) (accepted *Accepted, err error) {
+	defer func() { err = eris.Wrap(err, "decode configuration revision") }()
+	record := &ledgerv1.ConfigRevision{}
+	if err := proto.Unmarshal(value, record); err != nil {
+		return nil, errors.Join(ErrDamaged, err)
+	}
+	return Check(record)
+}
+
+// Check checks the digest and the document of a record from a peer.
+func Check(record *ledgerv1.ConfigRevision) (*Accepted, error) {
+	if record.GetRevision() == 0 {
+		return nil, ErrDamaged
+	}
+	if !bytes.Equal(digestOf(record), record.GetDigest()) {
+		return nil, ErrDamaged
+	}
+	configuration, err := dcsettings.ParseConfiguration(documentName, []byte(record.GetDocument()))
+	if err != nil {
+		return nil, eris.Wrapf(err, "revision %d", record.GetRevision())
+	}
+	return &Accepted{
+		Revision:      dcid.Revision(record.GetRevision()),
+		Record:        record,
+		Configuration: configuration,
+	}, nil
+}
+
+// digestOf returns the SHA-256 of a record without its digest field. Unknown
+// fields of newer programs are included.
+func digestOf(record *ledgerv1.ConfigRevision) []byte {
+	plain := proto.CloneOf(record)
+	plain.Digest = nil
+	sum := sha256.Sum256(encode(plain))
+	return sum[:]
+}
+
+func encode(record *ledgerv1.ConfigRevision) []byte {
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(record)
+	if err != nil {
+		// Only text that is not UTF-8 fails to marshal. Records come from
+		// unmarshalled messages, which have none.
+		return nil
+	}
+	return value
+}
+
+// Info describes a revision for the history.
+func Info(record *ledgerv1.ConfigRevision) *callerv1.RevisionInfo {
+	return &callerv1.RevisionInfo{
+		Revision:    record.GetRevision(),
+		Department:  record.GetDepartment(),
+		Time:        time.UnixMilli(record.GetAcceptedMs()).UTC().Format(time.RFC3339Nano),
+		Comment:     record.GetComment(),
+		OperationId: record.GetOperationId(),
+		Changed:     record.GetChanged(),
+	}
+}
--- /dev/null
+++ b/internal/dcsettings/configuration.go
@@ -0,0 +1,122 @@
+package dcsettings
+
+import (
+	"fmt"
+
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+)
+
+// Values of kind, coverage and stale-configuration rule, and of objectives.
+const (
+	KindQuery         = "query"
+	KindOrder         = "order"
+	CoverageComplete  = "complete"
+	CoveragePartial   = "partial"
+	StaleServe        = "serve"
+	StaleRefuseAfter  = "refuse-after"
+	ObjectiveLatency  = "latency"
+	ObjectiveCoverage = "coverage"
+)
+
+const (
+	maxEntryHosts       = 10_000
+	maxLedgerPartitions = 1024
+	// maxCredentialDigests leaves room for the old and the new credential
+	// during a change.
+	maxCredentialDigests = 2
+)
+
+// scope holds what the checks of a group look up in the whole configuration.
+type scope struct {
+	check         *reader
+	configuration *settingsv1.Configuration
+	departments   map[string]bool
+	domains       map[string]bool
+	// servers holds the path at which each server is first listed.
+	servers map[string]string
+}
+
+func checkConfiguration(check *reader, configuration *settingsv1.Configuration) {
+	check.name("deployment", configuration.GetDeployment())
+	check.intBetween("entry-hosts", configuration.GetEntryHosts(), 1, maxEntryHosts)
+	check.intBetween("ledger-partitions", configuration.GetLedgerPartitions(), 1, maxLedgerPartitions)
+	checkDomains(check, configuration.GetFailureDomains())
+	checkDepartments(check, configuration.GetDepartments())
+	in := newScope(check, configuration)
+	var groups []string
+	for i, group := range configuration.GetServiceGroups() {
+		groups = append(groups, group.GetName())
+		in.checkGroup(fmt.Sprintf("service-groups[%d]", i), group)
+	}
+	check.unique("service group", "service-groups", ".name", groups)
+	if len(groups) == 0 {
+		check.at("service-groups", "is missing; list at least one service group")
+	}
+}
+
+func newScope(check *reader, configuration *settingsv1.Configuration) *scope {
+	in := &scope{
+		check:         check,
+		configuration: configuration,
+		departments:   map[string]bool{},
+		domains:       map[string]bool{},
+		servers:       map[string]string{},
+	}
+	for _, department := range configuration.GetDepartments() {
+		in.departments[department.GetName()] = true
+	}
+	for _, domain := range configuration.GetFailureDomains() {
+		in.domains[domain] = true
+	}
+	return in
+}
+
+func checkDomains(check *reader, domains []string) {
+	if len(domains) == 0 {
+		check.at("failure-domains", "is missing; list at least one failure domain")
+	}
+	for i, domain := range domains {
+		check.name(fmt.Sprintf("failure-domains[%d]", i), domain)
+	}
+	check.unique("failure domain", "failure-domains", "", domains)
+}
+
+func checkDepartments(check *reader, departments []*settingsv1.Department) {
+	var names []string
+	administrators := 0
+	for i, department := range departments {
+		path := fmt.Sprintf("departments[%d]", i)
+		names = append(names, department.GetName())
+		check.name(path+".name", department.GetName())
+		checkDigests(check, path+".credential-digests", department.GetCredentialDigests())
+		if department.GetAdministrator() {
+			administrators++
+		}
+	}
+	check.unique("department", "departments", ".name", names)
+	if administrators == 0 {
+		check.at("departments", "none has administrator: true; nobody could change the shared parts")
+	}
+}
+
+func checkDigests(check *reader, path string, digests []string) {
+	if len(digests) == 0 {
+		check.at(path, "is missing; without a digest the department cannot authenticate")
+	}
+	if len(digests) > maxCredentialDigests {
+		check.at(path, "lists %d digests; at most %d are accepted during a change", len(digests), maxCredentialDigests)
+	}
+	for i, digest := range digests {
+		checkDigest(check, fmt.Sprintf("%s[%d]", path, i), digest, true)
+	}
+	check.unique("digest", path, "", digests)
+}
+
+func (s *scope) department(path, name string) {
+	switch {
+	case name == "":
+		s.check.at(path, "is missing; name a department")
+	case !s.departments[name]:
+		s.check.at(path, "department %q does not exist; add it to departments", clip(name))
+	}
+}
--- a/internal/dcsettings/dcsettings.go
+++ b/internal/dcsettings/dcsettings.go
@@ -1,38 +1,130 @@
 // Package dcsettings reads host settings and service configurations from
-// strict YAML into the messages of proto/dandelioncart/settings/v1.
+// strict YAML into the messages of proto/dandelioncart/settings/v1. Field
+// names are the kebab-case JSON names of the schema; durations are Go duration
+// text with a unit. Anchors, aliases and merge keys are accepted.
 package dcsettings
 
 import (
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
 	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
 )
 
+// MaxDocumentBytes is the largest document that is read. A revision with its
+// document must fit into one store value of 1 MiB.
+const MaxDocumentBytes = 768 << 10
+
 // Error is one fault in a document.
 type Error struct {
 	File string
 	// Line counts from 1.
 	Line int
-	// Field is a path such as service-groups[0].max-deadline.
+	// Field is a path such as service-groups[0].max-deadline; empty for faults
+	// of the whole document.
 	Field   string
 	Message string
 }
 
+// String returns the fault as file:line: field: message.
+func (e Error) String() string {
+	if e.Field == "" {
+		return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Message)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Field, e.Message)
+}
+
 // Errors holds every fault of a document, ordered by line. LoadHost,
 // ParseHost and ParseConfiguration return it as their error.
 type Errors []Error
 
 // Error lists one fault in each line.
-func (e Errors) Error() string { panic("not implemented") }
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i, fault := range e {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Proto returns the faults as messages for callers.
+func (e Errors) Proto() []*callerv1.FieldError {
+	faults := make([]*callerv1.FieldError, len(e))
+	for i, fault := range e {
+		faults[i] = &callerv1.FieldError{
+			File:    fault.File,
+			Line:    int32(fault.Line),
+			Field:   fault.Field,
+			Message: fault.Message,
+		}
+	}
+	return faults
+}
 
 // LoadHost reads host settings from a file, with defaults filled in.
-func LoadHost(path string) (*settingsv1.HostSettings, error) { panic("not implemented") }
+func LoadHost(path string) (*settingsv1.HostSettings, error) {
+	document, err := ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseHost(path, document)
+}
+
+// ReadFile reads a settings file of at most MaxDocumentBytes. One byte more is
+// returned for a larger file, so that parsing reports it.
+func ReadFile(path string) (document []byte, err error) {
+	defer func() { err = eris.Wrap(err, "read settings") }()
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	return io.ReadAll(io.LimitReader(file, MaxDocumentBytes+1))
+}
 
 // ParseHost reads host settings from a document, with defaults filled in.
 func ParseHost(file string, document []byte) (*settingsv1.HostSettings, error) {
-	panic("not implemented")
+	settings := &settingsv1.HostSettings{}
+	check := parse(file, document, settings)
+	if check.readable() {
+		checkHost(check, settings)
+	}
+	if err := check.err(); err != nil {
+		return nil, err
+	}
+	return settings, nil
 }
 
 // ParseConfiguration reads a service configuration, with defaults filled in.
 // The file is only a name for error messages.
 func ParseConfiguration(file string, document []byte) (*settingsv1.Configuration, error) {
-	panic("not implemented")
+	configuration := &settingsv1.Configuration{}
+	check := parse(file, document, configuration)
+	if check.readable() {
+		checkConfiguration(check, configuration)
+	}
+	if err := check.err(); err != nil {
+		return nil, err
+	}
+	return configuration, nil
+}
+
+// sorted returns the faults by line, without repetitions.
+func sorted(faults Errors) Errors {
+	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Line < faults[j].Line })
+	seen := make(map[Error]bool, len(faults))
+	var kept Errors
+	for _, fault := range faults {
+		if !seen[fault] {
+			seen[fault] = true
+			kept = append(kept, fault)
+		}
+	}
+	return kept
 }
--- /dev/null
+++ b/internal/dcsettings/defaults.go
@@ -0,0 +1,92 @@
+package dcsettings
+
+import (
+	"go.yaml.in/yaml/v3"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+)
+
+// Default is the value of a field that a document leaves out.
+type Default struct {
+	// Message and Field are names of the schema.
+	Message, Field string
+	// Value is YAML text.
+	Value string
+	// Kind limits the default to query or order groups; empty for both.
+	Kind string
+}
+
+// Defaults lists every default. Fields without one are either required or
+// empty.
+var Defaults = []Default{
+	{Message: "HostSettings", Field: "address-lifetime", Value: "5s"},
+	{Message: "HostSettings", Field: "stop-timeout", Value: "30s"},
+	{Message: "HostSettings", Field: "heartbeat-interval", Value: "1s"},
+	{Message: "HostSettings", Field: "status-interval", Value: "1s"},
+	{Message: "StoreSettings", Field: "timeout", Value: "2s"},
+	{Message: "StoreSettings", Field: "prefix", Value: "dandelioncart/"},
+	{Message: "HostListSettings", Field: "interval", Value: "2s"},
+	{Message: "LogSettings", Field: "level", Value: "info"},
+	{Message: "LogSettings", Field: "encoding", Value: "json"},
+	{Message: "Configuration", Field: "ledger-partitions", Value: "16"},
+	{Message: "DepartmentShare", Field: "weight", Value: "1"},
+	{Message: "ServiceGroup", Field: "connect-time", Value: "5ms"},
+	{Message: "ServiceGroup", Field: "coverage", Value: "complete", Kind: KindQuery},
+	{Message: "ServiceGroup", Field: "extra-load", Value: "0.05"},
+	{Message: "ServiceGroup", Field: "hedge-quantile", Value: "0.95", Kind: KindQuery},
+	{Message: "ServiceGroup", Field: "key-retention", Value: "24h", Kind: KindOrder},
+	{Message: "ServiceGroup", Field: "max-body-bytes", Value: "65536"},
+	{Message: "ServiceGroup", Field: "max-queue", Value: "256"},
+	{Message: "StaleConfiguration", Field: "rule", Value: StaleServe},
+	{Message: "Quarantine", Field: "canary", Value: "true"},
+	{Message: "Quarantine", Field: "duration", Value: "10m"},
+}
+
+// filledMessages are created when a document leaves them out, so that readers
+// need no check for nil.
+var filledMessages = map[protoreflect.Name]bool{
+	"LogSettings":        true,
+	"StaleConfiguration": true,
+	"Quarantine":         true,
+}
+
+// fillDefaults sets the fields of a message that the document leaves out.
+func (r *reader) fillDefaults(path string, message protoreflect.Message) {
+	fields := message.Descriptor().Fields()
+	for i := range fields.Len() {
+		field := fields.Get(i)
+		at := join(path, field.JSONName())
+		if _, set := r.lines[at]; set || !isMessage(field) || field.IsList() {
+			continue
+		}
+		if filledMessages[field.Message().Name()] {
+			r.fillDefaults(at, message.Mutable(field).Message())
+		}
+	}
+	for _, entry := range Defaults {
+		if string(message.Descriptor().Name()) == entry.Message {
+			r.fillDefault(path, message, entry)
+		}
+	}
+}
+
+func (r *reader) fillDefault(path string, message protoreflect.Message, entry Default) {
+	if _, set := r.lines[join(path, entry.Field)]; set {
+		return
+	}
+	group, isGroup := message.Interface().(*settingsv1.ServiceGroup)
+	if entry.Kind != "" && isGroup && group.GetKind() != entry.Kind {
+		return
+	}
+	field := message.Descriptor().Fields().ByJSONName(entry.Field)
+	var node yaml.Node
+	if err := yaml.Unmarshal([]byte(entry.Value), &node); err != nil {
+		panic(err)
+	}
+	value, err := decodeScalar(node.Content[0], field)
+	if err != nil {
+		panic(err)
+	}
+	message.Set(field, value)
+}
--- /dev/null
+++ b/internal/dcsettings/group.go
@@ -0,0 +1,217 @@
+package dcsettings
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+)
+
+const (
+	maxDeadline     = 10 * time.Minute
+	maxKeyRetention = 7 * 24 * time.Hour
+	maxSlots        = 10_000
+	maxConnections  = 100_000
+	maxBodyBytes    = 16 << 20
+	maxQueue        = 1_000_000
+	maxWeight       = 1000
+)
+
+func (s *scope) checkGroup(path string, group *settingsv1.ServiceGroup) {
+	check := s.check
+	check.name(path+".name", group.GetName())
+	s.department(path+".owner", group.GetOwner())
+	check.oneOf(path+".kind", group.GetKind(), KindQuery, KindOrder)
+	check.intBetween(path+".slots", group.GetSlots(), 1, maxSlots)
+	check.intBetween(path+".max-body-bytes", group.GetMaxBodyBytes(), 1, maxBodyBytes)
+	check.intBetween(path+".max-queue", group.GetMaxQueue(), 1, maxQueue)
+	check.durationBetween(path+".connect-time", group.GetConnectTime(), 0, time.Minute)
+	check.durationBetween(path+".max-deadline", group.GetMaxDeadline(), time.Millisecond, maxDeadline)
+	check.fraction(path+".extra-load", group.GetExtraLoad())
+	check.fraction(path+".hedge-quantile", group.GetHedgeQuantile())
+	s.checkConnections(path+".connections", group.GetConnections())
+	s.checkShares(path+".shares", group.GetShares())
+	s.checkSchemaVersions(path+".schema-versions", group.GetSchemaVersions())
+	s.checkCoverage(path, group)
+	s.checkOrderRules(path, group)
+	s.checkStale(path+".stale-configuration", group.GetStaleConfiguration())
+	check.durationBetween(path+".quarantine.duration", group.GetQuarantine().GetDuration(), time.Second, 24*time.Hour)
+	s.checkObjectives(path, group)
+	s.checkServices(path+".services", group.GetServices())
+}
+
+// checkConnections requires one connection for each entry host and one for the
+// spare share, which covers a replaced host that still holds connections.
+func (s *scope) checkConnections(path string, connections int32) {
+	s.check.intBetween(path, connections, 1, maxConnections)
+	shares := int64(s.configuration.GetEntryHosts()) + 1
+	if connections > 0 && int64(connections) < shares {
+		s.check.at(path, "%d is too small: %d entry hosts and one spare share need at least %d", connections, shares-1, shares)
+	}
+}
+
+func (s *scope) checkShares(path string, shares []*settingsv1.DepartmentShare) {
+	if len(shares) == 0 {
+		s.check.at(path, "is missing; list the departments that may call the group")
+	}
+	var departments []string
+	for i, share := range shares {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		departments = append(departments, share.GetDepartment())
+		s.department(at+".department", share.GetDepartment())
+		if share.GetWeight() <= 0 || share.GetWeight() > maxWeight {
+			s.check.at(at+".weight", "%g must be above 0 and at most %d", share.GetWeight(), maxWeight)
+		}
+	}
+	s.check.unique("department", path, ".department", departments)
+}
+
+func (s *scope) checkSchemaVersions(path string, versions []string) {
+	if len(versions) == 0 {
+		s.check.at(path, "is missing; list the schema versions that are accepted")
+	}
+	for i, version := range versions {
+		if version == "" || len(version) > maxNameBytes {
+			s.check.at(fmt.Sprintf("%s[%d]", path, i), "must have 1 to %d bytes", maxNameBytes)
+		}
+	}
+	s.check.unique("schema version", path, "", versions)
+}
+
+func (s *scope) checkCoverage(path string, group *settingsv1.ServiceGroup) {
+	if group.GetKind() != KindQuery {
+		return
+	}
+	coverage := group.GetCoverage()
+	s.check.oneOf(path+".coverage", coverage, CoverageComplete, CoveragePartial)
+	s.check.fraction(path+".min-coverage", group.GetMinCoverage())
+	if coverage == CoverageComplete && s.check.given(path+".min-coverage") {
+		s.check.at(path+".min-coverage", "contradicts coverage complete; remove it or set coverage: partial")
+	}
+	if s.check.given(path+".key-retention") {
+		s.check.at(path+".key-retention", "only applies to groups of kind order; remove it")
+	}
+}
+
+// checkOrderRules refuses rules of queries on groups of orders, which go to
+// one server and are never hedged.
+func (s *scope) checkOrderRules(path string, group *settingsv1.ServiceGroup) {
+	if group.GetKind() != KindOrder {
+		return
+	}
+	for _, field := range []string{".coverage", ".min-coverage", ".hedge-quantile"} {
+		if s.check.given(path + field) {
+			s.check.at(path+field, "only applies to groups of kind query; remove it")
+		}
+	}
+	low := max(time.Minute, group.GetMaxDeadline().AsDuration())
+	s.check.durationBetween(path+".key-retention", group.GetKeyRetention(), low, maxKeyRetention)
+}
+
+func (s *scope) checkStale(path string, stale *settingsv1.StaleConfiguration) {
+	s.check.oneOf(path+".rule", stale.GetRule(), StaleServe, StaleRefuseAfter)
+	switch stale.GetRule() {
+	case StaleServe:
+		if s.check.given(path + ".after") {
+			s.check.at(path+".after", "contradicts rule serve; remove it or set rule: refuse-after")
+		}
+	case StaleRefuseAfter:
+		s.check.durationBetween(path+".after", stale.GetAfter(), time.Second, 24*time.Hour)
+	}
+}
+
+func (s *scope) checkObjectives(path string, group *settingsv1.ServiceGroup) {
+	seen := map[string]bool{}
+	for i, objective := range group.GetObjectives() {
+		at := fmt.Sprintf("%s.objectives[%d]", path, i)
+		s.check.oneOf(at+".kind", objective.GetKind(), ObjectiveLatency, ObjectiveCoverage)
+		if objective.GetTarget() <= 0 || objective.GetTarget() >= 1 {
+			s.check.at(at+".target", "%g must be above 0 and below 1", objective.GetTarget())
+		}
+		s.checkThreshold(at, group, objective)
+		for j, department := range objective.GetDepartments() {
+			s.objectiveDepartment(fmt.Sprintf("%s.departments[%d]", at, j), group, department)
+		}
+		key := fmt.Sprint(objective.GetKind(), objective.GetThreshold().AsDuration(), objective.GetDepartments())
+		if seen[key] {
+			s.check.at(at, "repeats an earlier objective; keep one")
+		}
+		seen[key] = true
+	}
+}
+
+func (s *scope) checkThreshold(at string, group *settingsv1.ServiceGroup, objective *settingsv1.Objective) {
+	switch objective.GetKind() {
+	case ObjectiveLatency:
+		high := max(time.Millisecond, group.GetMaxDeadline().AsDuration())
+		s.check.durationBetween(at+".threshold", objective.GetThreshold(), time.Microsecond, high)
+	case ObjectiveCoverage:
+		if objective.GetThreshold() != nil {
+			s.check.at(at+".threshold", "only applies to objectives of kind latency; remove it")
+		}
+		if group.GetKind() == KindOrder {
+			s.check.at(at+".kind", "coverage only applies to groups of kind query")
+		}
+	}
+}
+
+func (s *scope) objectiveDepartment(path string, group *settingsv1.ServiceGroup, name string) {
+	has := slices.ContainsFunc(group.GetShares(), func(share *settingsv1.DepartmentShare) bool {
+		return share.GetDepartment() == name
+	})
+	if !has {
+		s.check.at(path, "department %q has no share of this group", clip(name))
+	}
+}
+
+func (s *scope) checkServices(path string, services []*settingsv1.Service) {
+	if len(services) == 0 {
+		s.check.at(path, "is missing; list at least one service")
+	}
+	var names []string
+	for i, service := range services {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		names = append(names, service.GetName())
+		s.check.name(at+".name", service.GetName())
+		s.checkUpstreams(at+".upstreams", service.GetUpstreams())
+	}
+	s.check.unique("service", path, ".name", names)
+}
+
+func (s *scope) checkUpstreams(path string, upstreams []*settingsv1.Upstream) {
+	if len(upstreams) == 0 {
+		s.check.at(path, "is missing; list servers by failure domain")
+	}
+	var domains []string
+	for i, upstream := range upstreams {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		domain := upstream.GetFailureDomain()
+		domains = append(domains, domain)
+		if !s.domains[domain] {
+			s.check.at(at+".failure-domain", "failure domain %q is not declared; add it to failure-domains", clip(domain))
+		}
+		s.checkServers(at, upstream)
+	}
+	s.check.unique("failure domain", path, ".failure-domain", domains)
+}
+
+func (s *scope) checkServers(path string, upstream *settingsv1.Upstream) {
+	if len(upstream.GetServers()) == 0 {
+		s.check.at(path+".servers", "is missing; list at least one server")
+	}
+	for i, server := range upstream.GetServers() {
+		at := fmt.Sprintf("%s.servers[%d]", path, i)
+		s.check.address(at, server)
+		if earlier, found := s.servers[server]; found && server != "" {
+			s.check.at(at, "server %q is already listed at line %d", clip(server), s.check.line(earlier))
+			continue
+		}
+		s.servers[server] = at
+	}
+	for i, server := range upstream.GetLeaving() {
+		if !slices.Contains(upstream.GetServers(), server) {
+			s.check.at(fmt.Sprintf("%s.leaving[%d]", path, i), "server %q is not in servers", clip(server))
+		}
+	}
+}
--- /dev/null
+++ b/internal/dcsettings/walk.go
@@ -0,0 +1,265 @@
+package dcsettings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+)
+
+const (
+	// maxNodes bounds the nodes visited, aliases expanded. A configuration of
+	// 10,000 servers has about 25,000.
+	maxNodes = 200_000
+	// maxDepth bounds nesting and chains of merge keys. The schema nests 10
+	// levels.
+	maxDepth = 32
+	// maxErrors bounds the faults reported for one document.
+	maxErrors = 500
+)
+
+const mergeKey = "<<"
+
+var syntaxLine = regexp.MustCompile(`line (\d+): (.*)`)
+
+// reader walks one document and collects its faults.
+type reader struct {
+	file   string
+	faults Errors
+	// lines holds the line of each field that the document sets, by path.
+	lines map[string]int
+	// broken marks paths whose value could not be read; later checks skip them.
+	broken map[string]bool
+	nodes  int
+	halted bool
+}
+
+// pair is a field of a mapping, given in place or through a merge key.
+type pair struct {
+	key, value *yaml.Node
+}
+
+// parse reads a document into an empty message and fills in defaults.
+func parse(file string, document []byte, message proto.Message) *reader {
+	read := &reader{
+		file:   file,
+		lines:  map[string]int{"": 1},
+		broken: map[string]bool{},
+	}
+	root := read.document(document)
+	if root == nil {
+		return read
+	}
+	read.message(root, "", message.ProtoReflect(), 0)
+	return read
+}
+
+// document returns the root node of the only document, or nil.
+func (r *reader) document(document []byte) *yaml.Node {
+	if len(document) > MaxDocumentBytes {
+		r.halt(1, "", "document is larger than %d bytes; split the deployment or shorten it", MaxDocumentBytes)
+		return nil
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(document))
+	var root, extra yaml.Node
+	if err := decoder.Decode(&root); err != nil {
+		r.syntax(err)
+		return nil
+	}
+	if err := decoder.Decode(&extra); !errors.Is(err, io.EOF) {
+		r.halt(max(extra.Line, 1), "", "file holds more than one document; keep one")
+		return nil
+	}
+	if root.Kind != yaml.DocumentNode || len(root.Content) != 1 {
+		r.halt(1, "", "document is empty")
+		return nil
+	}
+	return root.Content[0]
+}
+
+func (r *reader) syntax(err error) {
+	if errors.Is(err, io.EOF) {
+		r.halt(1, "", "document is empty")
+		return
+	}
+	text := strings.TrimPrefix(err.Error(), "yaml: ")
+	found := syntaxLine.FindStringSubmatch(text)
+	if found == nil {
+		r.halt(1, "", "not valid YAML: %s", text)
+		return
+	}
+	line, _ := strconv.Atoi(found[1])
+	r.halt(max(line, 1), "", "not valid YAML: %s", found[2])
+}
+
+// message reads a mapping into a message.
+func (r *reader) message(node *yaml.Node, path string, message protoreflect.Message, depth int) {
+	node = resolve(node)
+	if !r.visit(node, path, depth) {
+		return
+	}
+	if node.Kind != yaml.MappingNode {
+		r.fail(path, node.Line, "must be a mapping of fields, found %s", describe(node))
+		return
+	}
+	fields := message.Descriptor().Fields()
+	for _, entry := range r.pairs(node, path, depth) {
+		field := fields.ByJSONName(entry.key.Value)
+		at := join(path, entry.key.Value)
+		if field == nil {
+			r.add(entry.key.Line, at, "unknown field; known fields: %s", names(fields))
+			continue
+		}
+		r.lines[at] = entry.key.Line
+		r.field(entry.value, at, message, field, depth+1)
+	}
+	r.fillDefaults(path, message)
+}
+
+// pairs returns the fields of a mapping. Fields given in place win over merged
+// ones, and earlier merge sources over later ones.
+func (r *reader) pairs(node *yaml.Node, path string, depth int) []pair {
+	var found []pair
+	var sources []*yaml.Node
+	seen := map[string]bool{}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		key, value := node.Content[i], node.Content[i+1]
+		switch {
+		case key.Kind != yaml.ScalarNode:
+			r.add(key.Line, path, "field names must be plain text")
+		case seen[key.Value]:
+			r.add(key.Line, join(path, key.Value), "field is given twice; keep one")
+		case key.Value == mergeKey && key.ShortTag() == "!!merge":
+			seen[key.Value] = true
+			sources = append(sources, r.mergeSources(value, path)...)
+		default:
+			seen[key.Value] = true
+			found = append(found, pair{key: key, value: value})
+		}
+	}
+	for _, source := range sources {
+		found = r.merge(found, seen, source, path, depth+1)
+	}
+	return found
+}
+
+func (r *reader) merge(found []pair, seen map[string]bool, source *yaml.Node, path string, depth int) []pair {
+	if !r.visit(source, path, depth) {
+		return found
+	}
+	if source.Kind != yaml.MappingNode {
+		r.add(source.Line, path, "merge key must name a mapping, found %s", describe(source))
+		return found
+	}
+	for _, entry := range r.pairs(source, path, depth) {
+		if !seen[entry.key.Value] {
+			seen[entry.key.Value] = true
+			found = append(found, entry)
+		}
+	}
+	return found
+}
+
+func (r *reader) mergeSources(value *yaml.Node, path string) []*yaml.Node {
+	value = resolve(value)
+	if value.Kind != yaml.SequenceNode {
+		return []*yaml.Node{value}
+	}
+	var sources []*yaml.Node
+	for _, item := range value.Content {
+		if !r.visit(item, path, 0) {
+			return nil
+		}
+		sources = append(sources, resolve(item))
+	}
+	return sources
+}
+
+func (r *reader) field(node *yaml.Node, path string, message protoreflect.Message, field protoreflect.FieldDescriptor, depth int) {
+	node = resolve(node)
+	if node.ShortTag() == "!!null" && node.Kind == yaml.ScalarNode {
+		r.fail(path, node.Line, "has no value; set one or remove the field")
+		return
+	}
+	switch {
+	case field.IsList():
+		r.list(node, path, message.Mutable(field).List(), field, depth)
+	case isMessage(field):
+		r.message(node, path, message.Mutable(field).Message(), depth)
+	default:
+		if value, ok := r.scalar(node, path, field, depth); ok {
+			message.Set(field, value)
+		}
+	}
+}
+
+func (r *reader) list(node *yaml.Node, path string, list protoreflect.List, field protoreflect.FieldDescriptor, depth int) {
+	if !r.visit(node, path, depth) {
+		return
+	}
+	if node.Kind != yaml.SequenceNode {
+		r.fail(path, node.Line, "must be a list, found %s", describe(node))
+		return
+	}
+	for i, item := range node.Content {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		r.lines[at] = item.Line
+		if isMessage(field) {
+			r.message(item, at, list.AppendMutable().Message(), depth+1)
+			continue
+		}
+		value, ok := r.scalar(resolve(item), at, field, depth+1)
+		if !ok {
+			value = list.NewElement()
+		}
+		list.Append(value)
+	}
+}
+
+// visit counts a node and reports whether the walk may go on.
+func (r *reader) visit(node *yaml.Node, path string, depth int) bool {
+	if r.halted {
+		return false
+	}
+	r.nodes++
+	if r.nodes > maxNodes {
+		r.halt(node.Line, path, "document has more than %d values with aliases expanded; use fewer aliases", maxNodes)
+		return false
+	}
+	if depth > maxDepth {
+		r.halt(node.Line, path, "document is nested or merged deeper than %d levels", maxDepth)
+		return false
+	}
+	return true
+}
+
+// resolve follows aliases. An alias of an alias does not exist in YAML, so one
+// step is enough.
+func resolve(node *yaml.Node) *yaml.Node {
+	if node.Kind == yaml.AliasNode {
+		return node.Alias
+	}
+	return node
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func names(fields protoreflect.FieldDescriptors) string {
+	known := make([]string, fields.Len())
+	for i := range known {
+		known[i] = fields.Get(i).JSONName()
+	}
+	return strings.Join(known, ", ")
+}
