--- a/internal/dcsettings/check.go
+++ b/internal/dcsettings/check.go
@@ -100,6 +100,10 @@
 }
 
 func (r *reader) intBetween(path string, value, low, high int32) {
+	if value == 0 && low > 0 && !r.given(path) {
+		r.at(path, "is missing; give a number between %d and %d", low, high)
+		return
+	}
 	if value < low || value > high {
 		r.at(path, "%d must be between %d and %d", value, low, high)
 	}
--- a/internal/dcsettings/dcsettings.go
+++ b/internal/dcsettings/dcsettings.go
@@ -115,14 +115,17 @@
 	return configuration, nil
 }
 
-// sorted returns the faults by line, without repetitions.
+// sorted returns the faults by line. A fault behind an anchor occurs once for
+// each alias; only the first is kept.
 func sorted(faults Errors) Errors {
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Line < faults[j].Line })
 	seen := make(map[Error]bool, len(faults))
 	var kept Errors
 	for _, fault := range faults {
-		if !seen[fault] {
-			seen[fault] = true
+		same := fault
+		same.Field = fault.Field[strings.LastIndex(fault.Field, ".")+1:]
+		if !seen[same] {
+			seen[same] = true
 			kept = append(kept, fault)
 		}
 	}
--- a/internal/dcsettings/walk.go
+++ b/internal/dcsettings/walk.go
@@ -107,6 +107,7 @@
 	}
 	if node.Kind != yaml.MappingNode {
 		r.fail(path, node.Line, "must be a mapping of fields, found %s", describe(node))
+		r.halted = r.halted || path == ""
 		return
 	}
 	fields := message.Descriptor().Fields()
@@ -129,6 +130,8 @@
 	var found []pair
 	var sources []*yaml.Node
 	seen := map[string]bool{}
+	// Merged mappings are walked again for each merge, so all fields count.
+	r.nodes += len(node.Content) / 2
 	for i := 0; i+1 < len(node.Content); i += 2 {
 		key, value := node.Content[i], node.Content[i+1]
 		switch {
