--- /dev/null
+++ b/internal/dcauth/dcauth_test.go
@@ -0,0 +1,150 @@
+package dcauth
+
+import (
+	"context"
+	"errors"
+	"math/rand"
+	"strings"
+	"testing"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+)
+
+// cheap keeps tests fast; its parameters are the smallest that are accepted.
+var cheap = digest{memory: 8, time: 1, threads: 1, salt: make([]byte, 8), hash: make([]byte, 16)}
+
+func cheapDigest(t *testing.T, seed int64, credential string) string {
+	t.Helper()
+	text, err := cheap.derive(rand.New(rand.NewSource(seed)), credential)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func departments(name string, digests ...string) []*settingsv1.Department {
+	return []*settingsv1.Department{{Name: name, CredentialDigests: digests}}
+}
+
+func newAuthenticator(t *testing.T) *Authenticator {
+	t.Helper()
+	authenticator, err := New(rand.New(rand.NewSource(1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return authenticator
+}
+
+func TestNewDigest(t *testing.T) {
+	text, err := NewDigest(rand.New(rand.NewSource(1)), "a long credential")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !Verify(text, "a long credential") || Verify(text, "a long credentiaL") {
+		t.Errorf("digest %s does not tell credentials apart", text)
+	}
+	if err := CheckDigest(text); err != nil {
+		t.Error(err)
+	}
+	if _, err := NewDigest(rand.New(rand.NewSource(1)), "short"); err == nil {
+		t.Error("short credential was accepted")
+	}
+}
+
+// TestCheckDigest guards against parameters that would let a configuration
+// exhaust a host, and against several spellings of one digest.
+func TestCheckDigest(t *testing.T) {
+	good := cheapDigest(t, 1, "credential")
+	if err := CheckDigest(good); err != nil {
+		t.Fatal(err)
+	}
+	for _, change := range [][2]string{
+		{"argon2id", "argon2i"},
+		{"v=19", "v=16"},
+		{"m=8", "m=999999"},
+		{"m=8", "m=08"},
+		{"m=8", "m=7"},
+		{"t=1", "t=0"},
+		{"t=1", "t=99"},
+		{"p=1", "p=9"},
+		{"p=1$", "p=1$!"},
+		{good, ""},
+		{good, "a plain credential"},
+		{good, good + "$"},
+		{good, good + "\n"},
+		{good, strings.Repeat("$", 300)},
+	} {
+		if changed := strings.Replace(good, change[0], change[1], 1); CheckDigest(changed) == nil {
+			t.Errorf("%q was accepted", changed)
+		}
+	}
+}
+
+// TestCredentialChange guards against a removed digest that stays accepted
+// from the cache, and against an older revision bringing it back.
+func TestCredentialChange(t *testing.T) {
+	ctx := context.Background()
+	authenticator := newAuthenticator(t)
+	old, next := cheapDigest(t, 1, "old credential"), cheapDigest(t, 2, "new credential")
+	steps := []struct {
+		revision         dcid.Revision
+		digests          []string
+		oldWant, newWant error
+	}{
+		{1, []string{old}, nil, ErrDenied},
+		{2, []string{old, next}, nil, nil},
+		{3, []string{next}, ErrDenied, nil},
+		{2, []string{old, next}, ErrDenied, nil},
+		{4, []string{old}, nil, ErrDenied},
+	}
+	for _, step := range steps {
+		listed := departments("kitchen", step.digests...)
+		authenticator.Adopt(step.revision, listed)
+		for range 2 {
+			if err := authenticator.Authenticate(ctx, "kitchen", "old credential"); !errors.Is(err, step.oldWant) {
+				t.Errorf("revision %d, old credential: got %v, want %v", step.revision, err, step.oldWant)
+			}
+			if err := authenticator.Authenticate(ctx, "kitchen", "new credential"); !errors.Is(err, step.newWant) {
+				t.Errorf("revision %d, new credential: got %v, want %v", step.revision, err, step.newWant)
+			}
+		}
+	}
+	if err := authenticator.Authenticate(ctx, "mills", "old credential"); !errors.Is(err, ErrDenied) {
+		t.Errorf("unknown department: got %v, want %v", err, ErrDenied)
+	}
+}
+
+// TestCacheNeedsNoVerification guards against requests with known credentials,
+// right or wrong, that wait for verifications.
+func TestCacheNeedsNoVerification(t *testing.T) {
+	authenticator := newAuthenticator(t)
+	authenticator.Adopt(1, departments("kitchen", cheapDigest(t, 1, "credential")))
+	for _, credential := range []string{"credential", "mistaken"} {
+		_ = authenticator.Authenticate(context.Background(), "kitchen", credential)
+	}
+	for range maxVerifications {
+		authenticator.running <- struct{}{}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for credential, want := range map[string]error{
+		"credential": nil,
+		"mistaken":   ErrDenied,
+		"unknown":    context.Canceled,
+	} {
+		if err := authenticator.Authenticate(ctx, "kitchen", credential); !errors.Is(err, want) {
+			t.Errorf("%s: got %v, want %v", credential, err, want)
+		}
+	}
+}
+
+func TestCacheIsBounded(t *testing.T) {
+	cache := newCache(3)
+	for i := range 10 {
+		cache.put(mac{byte(i)}, "digest")
+	}
+	if _, newest := cache.get(mac{9}); !newest || len(cache.values) > 3 {
+		t.Errorf("newest kept: %v, entries: %d", newest, len(cache.values))
+	}
+}
--- /dev/null
+++ b/internal/dcconfig/application_test.go
@@ -0,0 +1,279 @@
+package dcconfig
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	"github.com/dandelioncart/dandelioncart/internal/dcstore"
+)
+
+// fakeStore holds the chain and injects faults. A fault applies to one call.
+type fakeStore struct {
+	values map[string][]byte
+	// faults are taken by the next calls: "" for none.
+	faults []string
+	// delayed writes take effect later.
+	delayed []dcstore.Swap
+}
+
+const (
+	down       = "down"        // no effect, ErrUnavailable
+	lostAfter  = "lost-after"  // effect, then ErrUnknownOutcome
+	lostBefore = "lost-before" // no effect, ErrUnknownOutcome
+	lostLate   = "lost-late"   // ErrUnknownOutcome, effect later
+)
+
+func newFakeStore(revisions ...*Accepted) *fakeStore {
+	store := &fakeStore{values: map[string][]byte{}}
+	for _, accepted := range revisions {
+		store.values[Key(accepted.Revision)] = encode(accepted.Record)
+	}
+	return store
+}
+
+func (s *fakeStore) fault() string {
+	if len(s.faults) == 0 {
+		return ""
+	}
+	next := s.faults[0]
+	s.faults = s.faults[1:]
+	return next
+}
+
+func (s *fakeStore) write(swap dcstore.Swap) error {
+	if _, exists := s.values[swap.Key]; exists {
+		return dcstore.ErrConflict
+	}
+	s.values[swap.Key] = swap.Value
+	return nil
+}
+
+func (s *fakeStore) swap(swap dcstore.Swap) error {
+	switch s.fault() {
+	case down:
+		return dcstore.ErrUnavailable
+	case lostAfter:
+		_ = s.write(swap)
+		return dcstore.ErrUnknownOutcome
+	case lostBefore:
+		return dcstore.ErrUnknownOutcome
+	case lostLate:
+		s.delayed = append(s.delayed, swap)
+		return dcstore.ErrUnknownOutcome
+	}
+	return s.write(swap)
+}
+
+func (s *fakeStore) newest() []dcstore.Record {
+	var keys []string
+	for key := range s.values {
+		keys = append(keys, key)
+	}
+	if len(keys) == 0 {
+		return nil
+	}
+	newest := slices.Max(keys)
+	return []dcstore.Record{{Key: newest, Value: s.values[newest]}}
+}
+
+func (s *fakeStore) get(key string) (dcstore.Record, error) {
+	value, ok := s.values[key]
+	if !ok {
+		return dcstore.Record{}, dcstore.ErrNotFound
+	}
+	return dcstore.Record{Key: key, Value: value}, nil
+}
+
+// take makes the call that a step asks for.
+func (s *fakeStore) take(application *Application, step Step) Step {
+	if step.Swap != nil {
+		return application.Swapped(s.swap(*step.Swap))
+	}
+	if s.fault() != "" {
+		if step.List {
+			return application.Listed(nil, dcstore.ErrUnavailable, start)
+		}
+		return application.Got(dcstore.Record{}, dcstore.ErrUnavailable)
+	}
+	if step.List {
+		return application.Listed(s.newest(), nil, start)
+	}
+	return application.Got(s.get(step.Get))
+}
+
+func (s *fakeStore) apply(proposal Proposal, known dcid.Revision) *Result {
+	application, step := NewApplication(proposal, known)
+	for step.Done == nil {
+		step = s.take(application, step)
+	}
+	return step.Done
+}
+
+// TestApplicationFaults guards against a lost reply that is reported wrongly.
+// The calls of an application without faults are list, swap.
+func TestApplicationFaults(t *testing.T) {
+	cases := []struct {
+		faults  string
+		outcome dcreason.Outcome
+		code    dcreason.Code
+		stored  bool
+	}{
+		{"", dcreason.Ran, dcreason.OK, true},
+		{"down", dcreason.NotRun, dcreason.StoreUnavailable, false},
+		{"- down", dcreason.NotRun, dcreason.StoreUnavailable, false},
+		{"- lost-after", dcreason.Ran, dcreason.OK, true},
+		{"- lost-before", dcreason.Ran, dcreason.OK, true},
+		{"- lost-after down down -", dcreason.Ran, dcreason.OK, true},
+		{"- lost-after down down down", dcreason.Unknown, dcreason.OutcomeUnknown, true},
+		{"- lost-before - lost-before - lost-before", dcreason.Unknown, dcreason.OutcomeUnknown, false},
+		{"- lost-before - down - -", dcreason.Ran, dcreason.OK, true},
+	}
+	for _, c := range cases {
+		store := newFakeStore(chain(t, 1)...)
+		store.faults = strings.Fields(c.faults)
+		for i, fault := range store.faults {
+			store.faults[i] = strings.TrimPrefix(fault, "-")
+		}
+		proposal := propose("yard", "op-2", 1, edit("deployment: test", "deployment: test-1", "max-deadline: 2s", "max-deadline: 1s"))
+		result := store.apply(proposal, 1)
+		_, err := store.get(Key(2))
+		if result.Outcome != c.outcome || result.Code != c.code || (err == nil) != c.stored {
+			t.Errorf("%q: got %s %s %q, stored %v", c.faults, result.Outcome, result.Code, result.Message, err == nil)
+		}
+		store.faults = nil
+		if again := store.apply(proposal, 1); again.Outcome != dcreason.Ran || again.Revision != 2 {
+			t.Errorf("%q: resend got %s %s %q", c.faults, again.Outcome, again.Code, again.Message)
+		}
+	}
+}
+
+// TestResend guards against a resend that runs twice or reports another result
+// after newer revisions.
+func TestResend(t *testing.T) {
+	revisions := chain(t, 5)
+	store := newFakeStore(revisions...)
+	request := func(operation string, base uint32, document string) *Result {
+		return store.apply(propose("office", operation, base, document), 5)
+	}
+	second := revisions[1].Record.GetDocument()
+	for _, c := range []struct {
+		name     string
+		result   *Result
+		code     dcreason.Code
+		revision dcid.Revision
+	}{
+		{"same operation", request("op-2", 1, second), dcreason.OK, 2},
+		{"same operation, other document", request("op-2", 1, baseDocument), dcreason.BadRequest, 5},
+		{"other operation", request("op-x", 1, second), dcreason.ConfigConflict, 5},
+		{"base from the future", request("op-x", 9, second), dcreason.ConfigConflict, 5},
+	} {
+		if c.result.Code != c.code || c.result.Revision != c.revision {
+			t.Errorf("%s: got %s revision %d: %s", c.name, c.result.Code, c.result.Revision, c.result.Message)
+		}
+	}
+	conflict := request("op-x", 1, second).Message
+	if !strings.Contains(conflict, "revision 1,") || !strings.Contains(conflict, "revision 5 is current") {
+		t.Errorf("conflict does not name both revisions: %s", conflict)
+	}
+	delete(store.values, Key(2))
+	if got := request("op-2", 1, second); got.Code != dcreason.ConfigConflict {
+		t.Errorf("pruned revision: %s", got.Code)
+	}
+}
+
+// TestRestoredStore guards against continuing a chain that lost revisions.
+func TestRestoredStore(t *testing.T) {
+	store := newFakeStore(chain(t, 2)...)
+	got := store.apply(propose("office", "op-x", 2, baseDocument), 3)
+	if got.Code != dcreason.ConfigurationStale || got.Outcome != dcreason.NotRun || len(store.values) != 2 {
+		t.Errorf("got %s %q, %d revisions", got.Code, got.Message, len(store.values))
+	}
+}
+
+// racer is one operator in TestRaces.
+type racer struct {
+	proposal    Proposal
+	application *Application
+	step        Step
+}
+
+// TestRaces guards against rival operators, lost and late writes that together
+// lose, repeat or misreport a revision.
+func TestRaces(t *testing.T) {
+	for seed := range int64(40) {
+		random := rand.New(rand.NewSource(seed))
+		store := newFakeStore(chain(t, 1)...)
+		results := race(random, store)
+		written := map[string]int{}
+		var previous *Accepted
+		for revision := dcid.Revision(1); int(revision) <= len(store.values); revision++ {
+			record, err := store.get(Key(revision))
+			if err != nil {
+				t.Fatalf("seed %d: gap at revision %d", seed, revision)
+			}
+			accepted, err := Decode(record.Value)
+			if err != nil || previous != nil && string(accepted.Record.GetPreviousDigest()) != string(previous.Record.GetDigest()) {
+				t.Fatalf("seed %d: revision %d does not continue the chain: %v", seed, revision, err)
+			}
+			written[accepted.Record.GetOperationId()]++
+			previous = accepted
+		}
+		for operation, result := range results {
+			count := written[operation]
+			if result.Outcome == dcreason.Ran && count != 1 || result.Outcome == dcreason.NotRun && count != 0 || count > 1 {
+				t.Errorf("seed %d: %s is %s %s but written %d times", seed, operation, result.Outcome, result.Code, count)
+			}
+		}
+	}
+}
+
+// race runs operators that retry conflicts with a new operation id, in a
+// random interleaving with random faults.
+func race(random *rand.Rand, store *fakeStore) map[string]*Result {
+	results := map[string]*Result{}
+	racers := make([]*racer, 5)
+	for turn := range 150 {
+		place := random.Intn(len(racers))
+		if racers[place] == nil {
+			racers[place] = newRacer(store, fmt.Sprintf("op-%d-%d", place, turn), turn)
+		}
+		store.faults = nil
+		if random.Intn(4) == 0 {
+			store.faults = []string{[]string{down, lostAfter, lostBefore, lostLate}[random.Intn(4)]}
+		}
+		current := racers[place]
+		current.step = store.take(current.application, current.step)
+		if current.step.Done != nil {
+			results[current.proposal.Request.GetOperationId()] = current.step.Done
+			racers[place] = nil
+		}
+		if len(store.delayed) > 0 && random.Intn(3) == 0 {
+			_ = store.write(store.delayed[0])
+			store.delayed = store.delayed[1:]
+		}
+	}
+	for _, swap := range store.delayed {
+		_ = store.write(swap)
+	}
+	return results
+}
+
+func newRacer(store *fakeStore, operation string, turn int) *racer {
+	head, err := Decode(store.newest()[0].Value)
+	if err != nil {
+		panic(err)
+	}
+	document := edit("deployment: test", fmt.Sprintf("deployment: test-%d", turn))
+	proposal := propose("office", operation, uint32(head.Revision), document)
+	application, step := NewApplication(proposal, head.Revision)
+	return &racer{
+		proposal:    proposal,
+		application: application,
+		step:        step,
+	}
+}
