Add types and signatures of the order ledger

The host is wired against these while the decisions are written, so the types come first. The package has no behaviour beyond key checks yet.

--- /dev/null
+++ b/internal/dcledger/key.go
@@ -0,0 +1,79 @@
+package dcledger
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+)
+
+// ClockAllowance is the largest accepted lead of a caller's clock over a host's.
+const ClockAllowance = 5 * time.Second
+
+const canonicalKeyLength = 36
+
+// ParseKey checks the form of an order key and returns its canonical spelling
+// with its time of issue. The code is OK or KeyMalformed.
+func ParseKey(raw dcid.OrderKey) (key dcid.OrderKey, issued time.Time, code dcreason.Code) {
+	id, err := uuid.Parse(string(raw))
+	if err != nil || len(raw) != canonicalKeyLength {
+		return "", time.Time{}, dcreason.KeyMalformed
+	}
+	if id.Version() != 7 || id.Variant() != uuid.RFC4122 {
+		return "", time.Time{}, dcreason.KeyMalformed
+	}
+	seconds, nanoseconds := id.Time().UnixTime()
+	return dcid.OrderKey(strings.ToLower(string(raw))), time.Unix(seconds, nanoseconds), dcreason.OK
+}
+
+// CheckAge tells whether a key issued at a time may be used at now: OK,
+// KeyFromFuture or KeyExpired.
+func CheckAge(issued, now time.Time, retention time.Duration) dcreason.Code {
+	switch {
+	case issued.Sub(now) > ClockAllowance:
+		return dcreason.KeyFromFuture
+	case now.Sub(issued) > retention:
+		return dcreason.KeyExpired
+	}
+	return dcreason.OK
+}
+
+// PartitionOf returns the partition of a canonical key among count partitions.
+func PartitionOf(department dcid.Department, key dcid.OrderKey, count int32) dcid.Partition {
+	sum := xxhash.Sum64String(string(department) + "\x00" + string(key))
+	return dcid.Partition(sum % uint64(count))
+}
+
+// MinuteOf returns the Unix minute of a time of issue, which names the segment.
+func MinuteOf(issued time.Time) int64 {
+	return issued.Unix() / 60
+}
+
+// PartitionPrefix returns the store prefix of all segments of a partition.
+func PartitionPrefix(prefix string, partition dcid.Partition) string {
+	return fmt.Sprintf("%sledger/%d/", prefix, partition)
+}
+
+// SegmentKey returns the store key of a segment. The minute is padded so that
+// the store lists segments from oldest to newest.
+func SegmentKey(prefix string, partition dcid.Partition, minute int64) string {
+	return fmt.Sprintf("%s%010d", PartitionPrefix(prefix, partition), minute)
+}
+
+// BodyDigest returns the SHA-256 of what makes two orders the same. Each part
+// is preceded by its length, so that no two lists of parts are alike.
+func BodyDigest(group dcid.GroupName, service dcid.ServiceName, schema dcid.SchemaVersion, body []byte) []byte {
+	hash := sha256.New()
+	for _, part := range [][]byte{[]byte(group), []byte(service), []byte(schema), body} {
+		hash.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
+		hash.Write(part)
+	}
+	return hash.Sum(nil)
+}
