Decide claims, group commits, orders and lookups

A not-run record for a claim that is not in the ledger is inserted, not dropped: dropping it was ruled out, because a delayed swap or a delayed peer message could commit the claim after the record and leave the key claimed.

--- a/internal/dcledger/actions.go
+++ b/internal/dcledger/actions.go
@@ -77,6 +77,14 @@
 	MayExist bool
 }
 
+// After combines the result of a claim with that of an earlier route, such as
+// the holder that did not answer before this host committed by itself. The
+// claim may exist when either route may have written it.
+func (r Result) After(earlier Result) Result {
+	r.MayExist = r.Code != dcreason.OK && (r.MayExist || earlier.MayExist)
+	return r
+}
+
 // OrderAction is what the shell must do for an Order or a Lookup: SubmitClaim,
 // SubmitRecord, SubmitLookup, Dispatch, AskUpstream, Respond or WakeAt.
 type OrderAction interface{ orderAction() }
--- /dev/null
+++ b/internal/dcledger/breaker.go
@@ -0,0 +1,38 @@
+package dcledger
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// backoff returns the time before retry number attempt, from 0: exponential,
+// with the upper half chosen at random so that hosts do not retry together.
+func backoff(random *rand.Rand, attempt int, shortest, longest time.Duration) time.Duration {
+	const maxDoublings = 20
+	wait := min(shortest<<min(attempt, maxDoublings), longest)
+	return wait/2 + time.Duration(random.Int64N(int64(wait/2)+1))
+}
+
+// breaker is a circuit breaker around the store calls of one Committer. While
+// it is open, one call at a time probes the store after a backoff.
+type breaker struct {
+	open     bool
+	until    time.Time
+	probing  bool
+	failures int
+}
+
+func (b *breaker) allows(now time.Time) bool {
+	return !b.open || !now.Before(b.until) && !b.probing
+}
+
+func (b *breaker) trip(now time.Time, wait time.Duration) {
+	b.open = true
+	b.until = now.Add(wait)
+	b.probing = false
+	b.failures++
+}
+
+func (b *breaker) reset() {
+	*b = breaker{}
+}
--- a/internal/dcledger/config.go
+++ b/internal/dcledger/config.go
@@ -52,10 +52,13 @@
 	MaxRecords int
 	// IdleTime is how long the copy of an unused segment is kept.
 	IdleTime time.Duration
+	// Retention is the largest key retention of all service groups: older claims
+	// are refused and older records dropped. 0 means no limit.
+	Retention time.Duration
 }
 
 // DefaultCommitterConfig returns the settings in use; the caller sets Prefix,
-// Partition, Host and Incarnation.
+// Partition, Host, Incarnation and Retention.
 func DefaultCommitterConfig() CommitterConfig {
 	return CommitterConfig{
 		ClaimTimeout: 90 * time.Millisecond,
--- /dev/null
+++ b/internal/dcledger/lookup.go
@@ -0,0 +1,149 @@
+package dcledger
+
+import (
+	"time"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	"github.com/dandelioncart/dandelioncart/internal/dcupstream"
+	ledgerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/ledger/v1"
+)
+
+// LookupSpec asks for the outcome of a key.
+type LookupSpec struct {
+	Department dcid.Department
+	Group      dcid.GroupName
+	Key        dcid.OrderKey
+	// Deadline of the caller.
+	Deadline time.Time
+}
+
+// Lookup finds the outcome of a key. The outcome is about the key: ran and
+// not-run are answered only when they are recorded, or when the upstream says
+// that the order ran. A key without an entry is unknown, because a claim may be
+// on its way. When the upstream knows an outcome that the ledger does not, the
+// Lookup records it.
+type Lookup struct {
+	config OrderConfig
+	spec   LookupSpec
+
+	phase     phase
+	partition dcid.Partition
+	key       dcid.OrderKey
+	entry     *ledgerv1.Entry
+	responded bool
+	stepAt    time.Time
+}
+
+// NewLookup returns a lookup that has not started.
+func NewLookup(config OrderConfig, spec LookupSpec) *Lookup {
+	return &Lookup{config: config, spec: spec}
+}
+
+// Done reports that nothing is left to do.
+func (l *Lookup) Done() bool {
+	return l.phase == phaseDone
+}
+
+// Start checks the key and reads the ledger.
+func (l *Lookup) Start(now time.Time) []OrderAction {
+	if l.phase != phaseNew {
+		return nil
+	}
+	key, issued, code := ParseKey(l.spec.Key)
+	if code != dcreason.OK {
+		return l.finish(Respond{Outcome: dcreason.NotRun, Code: code})
+	}
+	if code := CheckAge(issued, now, l.config.Retention); code != dcreason.OK {
+		return l.finish(Respond{Outcome: dcreason.Unknown, Code: code})
+	}
+	l.phase = phaseClaiming
+	l.key = key
+	l.partition = PartitionOf(l.spec.Department, key, l.config.Partitions)
+	l.stepAt = earlier(now.Add(l.config.ClaimTimeout), l.spec.Deadline)
+	submit := SubmitLookup{
+		Partition:  l.partition,
+		Department: l.spec.Department,
+		Group:      l.spec.Group,
+		Key:        key,
+	}
+	return []OrderAction{submit, WakeAt{At: l.stepAt}}
+}
+
+// Read takes the entry from the ledger.
+func (l *Lookup) Read(now time.Time, result Result) []OrderAction {
+	if l.phase != phaseClaiming {
+		return nil
+	}
+	if result.Code != dcreason.OK {
+		return l.finish(Respond{Outcome: dcreason.Unknown, Code: result.Code})
+	}
+	if result.Entry == nil || result.Entry.GetServiceGroup() != string(l.spec.Group) {
+		return l.finish(Respond{Outcome: dcreason.Unknown, Code: dcreason.KeyUnknown})
+	}
+	answer := respond(result.Entry, now)
+	if answer.Code != dcreason.OutcomeUnknown || result.Entry.GetServer() == "" {
+		return l.finish(answer)
+	}
+	l.phase = phaseAsking
+	l.entry = result.Entry
+	l.stepAt = earlier(now.Add(l.config.AskInterval), l.spec.Deadline)
+	ask := AskUpstream{
+		Server:     dcid.ServerAddr(result.Entry.GetServer()),
+		Department: l.spec.Department,
+		Key:        l.key,
+	}
+	return []OrderAction{ask, WakeAt{At: l.stepAt}}
+}
+
+// Asked takes the upstream's answer about the outcome.
+func (l *Lookup) Asked(now time.Time, response dcupstream.Response) []OrderAction {
+	if l.phase != phaseAsking {
+		return nil
+	}
+	if response.Outcome != dcreason.Ran {
+		return l.finish(Respond{Outcome: dcreason.Unknown, Code: dcreason.OutcomeUnknown})
+	}
+	record := outcomeRecord(l.entry, ledgerv1.EntryState_ENTRY_STATE_RAN, response.Body)
+	l.phase = phaseRecording
+	l.responded = true
+	// One attempt is enough: the upstream can be asked again.
+	l.stepAt = now.Add(l.config.RecordTimeout)
+	return []OrderAction{
+		Respond{Outcome: dcreason.Ran, Code: dcreason.OK, Body: response.Body},
+		SubmitRecord{Partition: l.partition, Entry: record},
+		WakeAt{At: l.stepAt},
+	}
+}
+
+// Recorded ends a lookup that recorded an outcome.
+func (l *Lookup) Recorded(time.Time, Result) []OrderAction {
+	if l.phase == phaseRecording {
+		l.phase = phaseDone
+	}
+	return nil
+}
+
+// Tick gives up what did not answer in time.
+func (l *Lookup) Tick(now time.Time) []OrderAction {
+	if l.phase == phaseNew || l.phase == phaseDone || now.Before(l.stepAt) {
+		return nil
+	}
+	switch l.phase {
+	case phaseClaiming:
+		return l.finish(Respond{Outcome: dcreason.Unknown, Code: dcreason.StoreUnavailable})
+	case phaseAsking:
+		return l.finish(Respond{Outcome: dcreason.Unknown, Code: dcreason.OutcomeUnknown})
+	}
+	l.phase = phaseDone
+	return nil
+}
+
+func (l *Lookup) finish(answer Respond) []OrderAction {
+	l.phase = phaseDone
+	if l.responded {
+		return nil
+	}
+	l.responded = true
+	return []OrderAction{answer}
+}
--- /dev/null
+++ b/internal/dcledger/order.go
@@ -0,0 +1,291 @@
+package dcledger
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	"github.com/dandelioncart/dandelioncart/internal/dcupstream"
+	ledgerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/ledger/v1"
+)
+
+// Instant is a point in time on both clocks of a host. The wall clock may step;
+// a monotonic clock may stand still while a machine is suspended.
+type Instant struct {
+	Wall time.Time
+	// Elapsed is the monotonic time since any fixed event, such as the start of
+	// the process.
+	Elapsed time.Duration
+}
+
+// OrderSpec is an order as accepted from a caller.
+type OrderSpec struct {
+	Request    dcid.RequestID
+	Department dcid.Department
+	Key        dcid.OrderKey
+	Group      dcid.GroupName
+	Service    dcid.ServiceName
+	Schema     dcid.SchemaVersion
+	Body       []byte
+	// Deadline of the caller.
+	Deadline time.Time
+	// Operation is unique to this Order; a resent request gets a new one.
+	Operation dcid.OperationID
+	Host      dcid.HostID
+	// Server that the order is to be sent to.
+	Server dcid.ServerAddr
+}
+
+type phase int
+
+const (
+	phaseNew phase = iota
+	phaseClaiming
+	phaseDispatched
+	phaseRecording
+	phaseAsking
+	phaseDone
+)
+
+// Order takes one order through claim, dispatch and record on the entry host.
+// It sends Dispatch at most once, and only while its claim is committed and the
+// dispatch deadline has not passed on either clock.
+//
+// The outcome not-run is about this request: it was not dispatched, or the
+// upstream refused it before start. Another request with the same key may have
+// run; a Lookup tells.
+type Order struct {
+	config OrderConfig
+	spec   OrderSpec
+	random *rand.Rand
+
+	phase     phase
+	partition dcid.Partition
+	claim     *ledgerv1.Entry
+	record    *ledgerv1.Entry
+	started   Instant
+	// dispatchBy bounds the dispatch on the wall clock.
+	dispatchBy time.Time
+
+	answer    Respond
+	responded bool
+	// answerBy is when the caller is answered at the latest.
+	answerBy time.Time
+	// stepAt is when the current phase acts by itself: gives up the claim,
+	// submits the record again or asks the upstream.
+	stepAt  time.Time
+	retries int
+	asked   int
+	actions []OrderAction
+}
+
+// NewOrder returns an order that has not started.
+func NewOrder(config OrderConfig, spec OrderSpec, random *rand.Rand) *Order {
+	return &Order{config: config, spec: spec, random: random}
+}
+
+// Done reports that nothing is left to do.
+func (o *Order) Done() bool {
+	return o.phase == phaseDone
+}
+
+// Start checks the key and submits the claim.
+func (o *Order) Start(at Instant) []OrderAction {
+	if o.phase != phaseNew {
+		return nil
+	}
+	key, issued, code := ParseKey(o.spec.Key)
+	if code == dcreason.OK {
+		code = CheckAge(issued, at.Wall, o.config.Retention)
+	}
+	if code == dcreason.OK && !at.Wall.Before(o.spec.Deadline) {
+		code = dcreason.DeadlineExceeded
+	}
+	if code != dcreason.OK {
+		o.finishNotRun(code)
+		return o.takeActions()
+	}
+	o.phase = phaseClaiming
+	o.started = at
+	o.partition = PartitionOf(o.spec.Department, key, o.config.Partitions)
+	o.dispatchBy = earlier(at.Wall.Add(o.config.DispatchWindow), o.spec.Deadline)
+	o.answerBy = o.spec.Deadline
+	o.stepAt = earlier(at.Wall.Add(o.config.ClaimTimeout), o.spec.Deadline)
+	o.claim = o.newClaim(key)
+	o.act(SubmitClaim{Partition: o.partition, Entry: o.claim})
+	return o.takeActions()
+}
+
+func (o *Order) newClaim(key dcid.OrderKey) *ledgerv1.Entry {
+	return &ledgerv1.Entry{
+		Department:         string(o.spec.Department),
+		Key:                string(key),
+		BodyDigest:         BodyDigest(o.spec.Group, o.spec.Service, o.spec.Schema, o.spec.Body),
+		State:              ledgerv1.EntryState_ENTRY_STATE_CLAIMED,
+		OperationId:        string(o.spec.Operation),
+		HostId:             string(o.spec.Host),
+		DispatchDeadlineMs: o.dispatchBy.UnixMilli(),
+		Server:             string(o.spec.Server),
+		ServiceGroup:       string(o.spec.Group),
+		Service:            string(o.spec.Service),
+	}
+}
+
+// Claimed takes the result of the claim. A result that arrives after the claim
+// was given up is ignored.
+func (o *Order) Claimed(at Instant, result Result) []OrderAction {
+	if o.phase != phaseClaiming {
+		return nil
+	}
+	switch {
+	case Claimed(o.claim, result):
+		o.dispatch(at, result.Entry)
+	case result.Code != dcreason.OK && result.MayExist:
+		o.retire(at, result.Code)
+	case result.Code != dcreason.OK:
+		o.finishNotRun(result.Code)
+	case result.Entry == nil:
+		o.retire(at, dcreason.Internal)
+	default:
+		o.finishWithOther(at, result.Entry)
+	}
+	return o.takeActions()
+}
+
+// dispatch checks the dispatch deadline on both clocks and sends the order.
+func (o *Order) dispatch(at Instant, entry *ledgerv1.Entry) {
+	window := o.dispatchBy.Sub(o.started.Wall)
+	late := !at.Wall.Before(o.dispatchBy) || at.Elapsed-o.started.Elapsed >= window
+	if late {
+		o.retire(at, dcreason.DeadlineExceeded)
+		return
+	}
+	o.phase = phaseDispatched
+	o.stepAt = time.Time{}
+	o.act(Dispatch{Order: dcupstream.Order{
+		Server:     o.spec.Server,
+		Request:    o.spec.Request,
+		Department: o.spec.Department,
+		Key:        dcid.OrderKey(o.claim.GetKey()),
+		Schema:     o.spec.Schema,
+		Deadline:   o.spec.Deadline,
+		Attempt:    dcid.Attempt(entry.GetAttempt()),
+		Body:       o.spec.Body,
+	}})
+}
+
+// finishWithOther answers from the entry of another operation.
+func (o *Order) finishWithOther(at Instant, entry *ledgerv1.Entry) {
+	if !bytes.Equal(entry.GetBodyDigest(), o.claim.GetBodyDigest()) {
+		o.finishNotRun(dcreason.KeyBodyMismatch)
+		return
+	}
+	o.phase = phaseDone
+	o.answer = respond(entry, at.Wall)
+	o.reply()
+}
+
+// retire answers not-run for an order that is never dispatched, and records
+// that in the background, so that the key does not stay claimed.
+func (o *Order) retire(at Instant, code dcreason.Code) {
+	o.answer = Respond{Outcome: dcreason.NotRun, Code: code}
+	o.reply()
+	o.submit(at, ledgerv1.EntryState_ENTRY_STATE_NOT_RUN, nil)
+}
+
+func (o *Order) finishNotRun(code dcreason.Code) {
+	o.phase = phaseDone
+	o.answer = Respond{Outcome: dcreason.NotRun, Code: code}
+	o.reply()
+}
+
+// Responded takes the upstream's response to the dispatch.
+func (o *Order) Responded(at Instant, response dcupstream.Response) []OrderAction {
+	if o.phase != phaseDispatched {
+		return nil
+	}
+	o.answer = Respond{Outcome: response.Outcome, Code: response.Code, Body: response.Body}
+	state := ledgerv1.EntryState_ENTRY_STATE_UNKNOWN
+	switch response.Outcome {
+	case dcreason.Ran:
+		state = ledgerv1.EntryState_ENTRY_STATE_RAN
+	case dcreason.NotRun:
+		state = ledgerv1.EntryState_ENTRY_STATE_NOT_RUN
+	default:
+		o.answer.Outcome = dcreason.Unknown
+	}
+	if final(state) {
+		o.answerBy = earlier(at.Wall.Add(o.config.RecordWait), o.answerBy)
+	}
+	o.submit(at, state, response.Body)
+	return o.takeActions()
+}
+
+// Tick handles everything that is due.
+func (o *Order) Tick(at Instant) []OrderAction {
+	if o.stepDue(at) {
+		o.step(at)
+	}
+	if o.phase > phaseNew && !o.responded && !at.Wall.Before(o.answerBy) {
+		o.answerLate()
+	}
+	return o.takeActions()
+}
+
+func (o *Order) stepDue(at Instant) bool {
+	return !o.stepAt.IsZero() && !at.Wall.Before(o.stepAt)
+}
+
+func (o *Order) step(at Instant) {
+	switch o.phase {
+	case phaseClaiming:
+		o.retire(at, dcreason.StoreUnavailable)
+	case phaseRecording:
+		o.submitAgain(at)
+	case phaseAsking:
+		o.ask(at)
+	}
+}
+
+// answerLate answers a caller whose deadline has passed, or whose outcome is
+// known but could not yet be recorded.
+func (o *Order) answerLate() {
+	if o.answer.Outcome == "" {
+		o.answer = Respond{Outcome: dcreason.Unknown, Code: dcreason.DeadlineExceeded}
+	}
+	o.reply()
+}
+
+func (o *Order) reply() {
+	if o.responded {
+		return
+	}
+	o.responded = true
+	o.act(o.answer)
+}
+
+func (o *Order) act(action OrderAction) {
+	o.actions = append(o.actions, action)
+}
+
+func (o *Order) takeActions() []OrderAction {
+	actions := o.actions
+	o.actions = nil
+	wake := o.stepAt
+	if !o.responded && (wake.IsZero() || o.answerBy.Before(wake)) {
+		wake = o.answerBy
+	}
+	if o.phase != phaseDone && !wake.IsZero() {
+		actions = append(actions, WakeAt{At: wake})
+	}
+	return actions
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/dcledger/orderrecord.go
@@ -0,0 +1,108 @@
+package dcledger
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	"github.com/dandelioncart/dandelioncart/internal/dcupstream"
+	ledgerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/ledger/v1"
+)
+
+// outcomeRecord returns a record of a claim's outcome with the part of the
+// result that the ledger keeps.
+func outcomeRecord(claim *ledgerv1.Entry, state ledgerv1.EntryState, result []byte) *ledgerv1.Entry {
+	record := proto.CloneOf(claim)
+	record.State = state
+	if state == ledgerv1.EntryState_ENTRY_STATE_RAN {
+		record.Result = result[:min(len(result), MaxResultBytes)]
+		record.ResultTruncated = len(result) > MaxResultBytes
+	}
+	return record
+}
+
+// submit starts to record an outcome.
+func (o *Order) submit(at Instant, state ledgerv1.EntryState, result []byte) {
+	o.phase = phaseRecording
+	o.record = outcomeRecord(o.claim, state, result)
+	o.retries = 0
+	o.submitAgain(at)
+}
+
+func (o *Order) submitAgain(at Instant) {
+	o.stepAt = at.Wall.Add(o.config.RecordTimeout)
+	o.act(SubmitRecord{Partition: o.partition, Entry: o.record})
+}
+
+// Recorded takes the result of a record. A record that failed is submitted
+// again until it is written or the key has expired.
+func (o *Order) Recorded(at Instant, result Result) []OrderAction {
+	if o.phase != phaseRecording {
+		return nil
+	}
+	if result.Code != dcreason.OK && result.Code != dcreason.KeyExpired {
+		wait := backoff(o.random, o.retries, o.config.MinBackoff, o.config.MaxBackoff)
+		o.retries++
+		o.stepAt = at.Wall.Add(wait)
+		return o.takeActions()
+	}
+	o.settle(at, result.Entry)
+	return o.takeActions()
+}
+
+// settle goes on after an outcome is recorded: an unknown one is asked for,
+// unless another host has recorded meanwhile that the order ran.
+func (o *Order) settle(at Instant, recorded *ledgerv1.Entry) {
+	if o.record.GetState() != ledgerv1.EntryState_ENTRY_STATE_UNKNOWN {
+		o.finish()
+		return
+	}
+	sameOperation := recorded.GetOperationId() == o.record.GetOperationId()
+	if sameOperation && recorded.GetState() == ledgerv1.EntryState_ENTRY_STATE_RAN {
+		o.answer = respond(recorded, at.Wall)
+		o.finish()
+		return
+	}
+	o.phase = phaseAsking
+	o.ask(at)
+}
+
+// ask asks the upstream for the outcome. An unanswered question counts.
+func (o *Order) ask(at Instant) {
+	if o.asked >= o.config.AskLimit {
+		o.finish()
+		return
+	}
+	o.asked++
+	o.stepAt = at.Wall.Add(o.config.AskInterval)
+	o.act(AskUpstream{
+		Server:     o.spec.Server,
+		Department: o.spec.Department,
+		Key:        dcid.OrderKey(o.claim.GetKey()),
+	})
+}
+
+// Asked takes the upstream's answer about the outcome. Only ran is evidence: a
+// server that does not know the key may still receive the order.
+func (o *Order) Asked(at Instant, response dcupstream.Response) []OrderAction {
+	if o.phase != phaseAsking {
+		return nil
+	}
+	switch {
+	case response.Outcome == dcreason.Ran:
+		o.answer = Respond{Outcome: dcreason.Ran, Code: dcreason.OK, Body: response.Body}
+		o.answerBy = earlier(at.Wall.Add(o.config.RecordWait), o.answerBy)
+		o.submit(at, ledgerv1.EntryState_ENTRY_STATE_RAN, response.Body)
+	case o.asked >= o.config.AskLimit:
+		o.finish()
+	}
+	return o.takeActions()
+}
+
+func (o *Order) finish() {
+	o.phase = phaseDone
+	o.stepAt = time.Time{}
+	o.reply()
+}
--- /dev/null
+++ b/internal/dcledger/retention.go
@@ -0,0 +1,73 @@
+package dcledger
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcstore"
+)
+
+// RetentionMargin is the time that a segment is kept after its last key has
+// expired. It must exceed the difference between the clocks of two hosts plus
+// the longest deadline of an order: otherwise a host whose clock is slow could
+// claim a key whose outcome another host has deleted.
+const RetentionMargin = time.Hour
+
+// Retention decides which segments to delete.
+type Retention struct {
+	// Keys is the largest key retention of all service groups, since groups
+	// share segments.
+	Keys time.Duration
+	// Margin is at least RetentionMargin in operation.
+	Margin time.Duration
+}
+
+// SegmentRef names a segment to delete at the revision that was read.
+type SegmentRef struct {
+	Key      string
+	Modified dcstore.Revision
+}
+
+// DeletableAt returns when the segment of a minute may be deleted.
+func (r Retention) DeletableAt(minute int64) time.Time {
+	end := time.Unix((minute+1)*60, 0)
+	return end.Add(r.Keys + r.Margin)
+}
+
+// Deletable returns those of the listed records of a partition that may be
+// deleted now. Records with other keys than segments are left alone. The oldest
+// segments come first in Store.List(PartitionPrefix(...)), so a short list in
+// ascending order is enough for each pass.
+func (r Retention) Deletable(prefix string, partition dcid.Partition, records []dcstore.Record, now time.Time) []SegmentRef {
+	var refs []SegmentRef
+	for _, record := range records {
+		minute, ok := segmentMinute(prefix, partition, record.Key)
+		if ok && !now.Before(r.DeletableAt(minute)) {
+			refs = append(refs, SegmentRef{Key: record.Key, Modified: record.Modified})
+		}
+	}
+	return refs
+}
+
+// NextDeletion returns when the oldest of the listed records becomes deletable,
+// and false when none is a segment.
+func (r Retention) NextDeletion(prefix string, partition dcid.Partition, records []dcstore.Record) (at time.Time, ok bool) {
+	for _, record := range records {
+		minute, isSegment := segmentMinute(prefix, partition, record.Key)
+		if due := r.DeletableAt(minute); isSegment && (!ok || due.Before(at)) {
+			at, ok = due, true
+		}
+	}
+	return at, ok
+}
+
+func segmentMinute(prefix string, partition dcid.Partition, key string) (minute int64, ok bool) {
+	text, ok := strings.CutPrefix(key, PartitionPrefix(prefix, partition))
+	if !ok {
+		return 0, false
+	}
+	minute, err := strconv.ParseInt(text, 10, 64)
+	return minute, err == nil && key == SegmentKey(prefix, partition, minute)
+}
--- /dev/null
+++ b/internal/dcledger/rules.go
@@ -0,0 +1,142 @@
+package dcledger
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	ledgerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/ledger/v1"
+)
+
+// Claimed reports whether the result of a claim lets the operation of claim
+// dispatch the order.
+func Claimed(claim *ledgerv1.Entry, result Result) bool {
+	if result.Code != dcreason.OK || result.Entry == nil {
+		return false
+	}
+	committed := result.Entry.GetState() == ledgerv1.EntryState_ENTRY_STATE_CLAIMED
+	return committed && result.Entry.GetOperationId() == claim.GetOperationId()
+}
+
+func findEntry(segment *ledgerv1.Segment, department, key string) int {
+	return slices.IndexFunc(segment.GetEntries(), func(entry *ledgerv1.Entry) bool {
+		return entry.GetKey() == key && entry.GetDepartment() == department
+	})
+}
+
+// applyClaim applies the claim rules to a segment. It changes the segment only
+// for a key that is absent or proven not to have run.
+func applyClaim(segment *ledgerv1.Segment, claim *ledgerv1.Entry, now time.Time) (result Result, changed bool) {
+	index := findEntry(segment, claim.GetDepartment(), claim.GetKey())
+	if index >= 0 && !claimable(segment.GetEntries()[index], claim) {
+		return Result{Code: dcreason.OK, Entry: segment.GetEntries()[index]}, false
+	}
+	// A claim that arrives late would block the key for nothing.
+	if !now.Before(time.UnixMilli(claim.GetDispatchDeadlineMs())) {
+		return Result{Code: dcreason.DeadlineExceeded}, false
+	}
+	entry := proto.CloneOf(claim)
+	entry.State = ledgerv1.EntryState_ENTRY_STATE_CLAIMED
+	entry.Attempt = 1
+	if index >= 0 {
+		entry.Attempt = segment.GetEntries()[index].GetAttempt() + 1
+	}
+	if claimSize(segment)+proto.Size(entry)+recordRoom > MaxClaimBytes {
+		return Result{Code: dcreason.QueueFull}, false
+	}
+	if index >= 0 {
+		segment.Entries[index] = entry
+	} else {
+		segment.Entries = append(segment.Entries, entry)
+	}
+	return Result{Code: dcreason.OK, Entry: entry}, true
+}
+
+// claimable reports whether a key in the ledger may be claimed again. The
+// operation that was answered not-run must not claim its key again: a delayed
+// copy of its claim may arrive after its not-run record.
+func claimable(existing, claim *ledgerv1.Entry) bool {
+	return existing.GetState() == ledgerv1.EntryState_ENTRY_STATE_NOT_RUN &&
+		existing.GetOperationId() != claim.GetOperationId() &&
+		bytes.Equal(existing.GetBodyDigest(), claim.GetBodyDigest())
+}
+
+// applyRecord applies an outcome to a segment. Ran and not-run are final for an
+// operation; unknown may still become ran on the upstream's word.
+func applyRecord(segment *ledgerv1.Segment, record *ledgerv1.Entry) (result Result, changed bool) {
+	index := findEntry(segment, record.GetDepartment(), record.GetKey())
+	if index < 0 {
+		// A not-run record for a claim that is not there keeps a delayed swap or
+		// a delayed peer message from committing that claim later.
+		entry := proto.CloneOf(record)
+		entry.Attempt = max(entry.Attempt, 1)
+		segment.Entries = append(segment.Entries, entry)
+		return Result{Code: dcreason.OK, Entry: entry}, true
+	}
+	existing := segment.GetEntries()[index]
+	if existing.GetOperationId() != record.GetOperationId() || !mayFollow(existing.GetState(), record.GetState()) {
+		return Result{Code: dcreason.OK, Entry: existing}, false
+	}
+	entry := proto.CloneOf(existing)
+	entry.State = record.GetState()
+	entry.Result = record.GetResult()
+	entry.ResultTruncated = record.GetResultTruncated()
+	segment.Entries[index] = entry
+	return Result{Code: dcreason.OK, Entry: entry}, true
+}
+
+func mayFollow(from, to ledgerv1.EntryState) bool {
+	switch from {
+	case ledgerv1.EntryState_ENTRY_STATE_CLAIMED:
+		return to != ledgerv1.EntryState_ENTRY_STATE_CLAIMED
+	case ledgerv1.EntryState_ENTRY_STATE_UNKNOWN:
+		return to == ledgerv1.EntryState_ENTRY_STATE_RAN
+	}
+	return false
+}
+
+func applyLookup(segment *ledgerv1.Segment, wanted *ledgerv1.Entry) Result {
+	index := findEntry(segment, wanted.GetDepartment(), wanted.GetKey())
+	if index < 0 {
+		return Result{Code: dcreason.OK}
+	}
+	return Result{Code: dcreason.OK, Entry: segment.GetEntries()[index]}
+}
+
+// claimSize returns the size of a segment once each entry has a result.
+func claimSize(segment *ledgerv1.Segment) int {
+	size := proto.Size(segment)
+	for _, entry := range segment.GetEntries() {
+		if !final(entry.GetState()) {
+			size += recordRoom
+		}
+	}
+	return size
+}
+
+func final(state ledgerv1.EntryState) bool {
+	return state == ledgerv1.EntryState_ENTRY_STATE_RAN || state == ledgerv1.EntryState_ENTRY_STATE_NOT_RUN
+}
+
+// respond describes an entry to a caller that did not dispatch it.
+func respond(entry *ledgerv1.Entry, now time.Time) Respond {
+	switch entry.GetState() {
+	case ledgerv1.EntryState_ENTRY_STATE_RAN:
+		return Respond{
+			Outcome:   dcreason.Ran,
+			Code:      dcreason.OK,
+			Body:      entry.GetResult(),
+			Truncated: entry.GetResultTruncated(),
+		}
+	case ledgerv1.EntryState_ENTRY_STATE_NOT_RUN:
+		return Respond{Outcome: dcreason.NotRun, Code: dcreason.OK}
+	case ledgerv1.EntryState_ENTRY_STATE_CLAIMED:
+		if now.Before(time.UnixMilli(entry.GetDispatchDeadlineMs())) {
+			return Respond{Outcome: dcreason.Unknown, Code: dcreason.KeyInProgress}
+		}
+	}
+	return Respond{Outcome: dcreason.Unknown, Code: dcreason.OutcomeUnknown}
+}
