Add the membership view and the leaving servers

Failure detection is SWIM's: with 1,300 hosts a host is contacted by 3 random peers each interval, so silence alone says nothing and a number that grows each second cannot be spread.

Ruled out: suspicion by the age of the newest heartbeat, since a host that was itself paused would accuse everybody when it resumes.

--- /dev/null
+++ b/internal/dcmembership/evidence.go
@@ -0,0 +1,243 @@
+package dcmembership
+
+import (
+	"time"
+
+	ledgerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/ledger/v1"
+	peerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/peer/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+)
+
+// Receive takes the members of a heartbeat request or response. The sender's
+// own entry is a direct heartbeat, the others are hearsay.
+func (m *Members) Receive(sender *peerv1.Member, members []*peerv1.Member, now time.Time) []Change {
+	if sender != nil {
+		m.direct(sender, now)
+	}
+	for _, member := range members {
+		if dcid.HostID(member.GetHostId()) == m.self.ID {
+			m.aboutSelf(member)
+			continue
+		}
+		m.hearsay(member, now)
+	}
+	return m.takeChanges()
+}
+
+// aboutSelf refutes a suspicion by a higher heartbeat number.
+func (m *Members) aboutSelf(member *peerv1.Member) {
+	if member.GetIncarnation() != m.self.Incarnation || member.GetHeartbeat() < m.self.Heartbeat {
+		return
+	}
+	switch State(member.GetState()) {
+	case Alive, Leaving:
+		return
+	}
+	if m.self.State == Gone {
+		return
+	}
+	m.self.Heartbeat = member.GetHeartbeat()
+	m.announce()
+}
+
+func (m *Members) direct(member *peerv1.Member, now time.Time) {
+	host := fromWire(member)
+	if host.ID == "" || host.ID == m.self.ID || host.PeerAddress == "" {
+		return
+	}
+	e := m.current(host, now)
+	// A lower number is a delayed message; an end is final for an incarnation.
+	if e == nil || host.Heartbeat < e.host.Heartbeat || e.stopped {
+		return
+	}
+	e.accused = e.host.State == Suspect || e.host.State == Gone
+	e.limit = m.settings.MissedLimit
+	e.heardTick = m.tick
+	m.peerHeard = now
+	host.Heard = now
+	m.accept(e, host, State(member.GetState()), now)
+}
+
+func (m *Members) hearsay(member *peerv1.Member, now time.Time) {
+	host := fromWire(member)
+	if host.ID == "" || host.PeerAddress == "" {
+		return
+	}
+	state := State(member.GetState())
+	if _, known := m.entries[host.ID]; !known && (state == Gone || state == stopped) {
+		return
+	}
+	e := m.current(host, now)
+	if e == nil || e.stopped || host.Heartbeat < e.host.Heartbeat {
+		return
+	}
+	host.Heard = e.host.Heard
+	if state != stopped && m.recentlyHeard(e) && (state == Suspect || state == Gone) {
+		// A live direct heartbeat outranks what others say; let the host refute.
+		e.accused = true
+		return
+	}
+	if host.Heartbeat > e.host.Heartbeat {
+		e.raiseLimit(m.settings.MissedLimit)
+		m.accept(e, host, state, now)
+		return
+	}
+	if rank(state) > rank(e.host.State) {
+		m.accept(e, host, state, now)
+	}
+}
+
+// raiseLimit doubles the missed limit of a host that refutes through others, so
+// that a host that only this one cannot reach does not alternate.
+func (e *entry) raiseLimit(base int) {
+	if e.host.State == Suspect || e.host.State == Gone {
+		e.limit = min(2*e.limit, maxLimitFactor*base)
+	}
+}
+
+// recentlyHeard reports a direct heartbeat within the missed limit.
+func (m *Members) recentlyHeard(e *entry) bool {
+	return !e.host.Heard.IsZero() && m.tick-e.heardTick <= uint64(m.settings.MissedLimit)
+}
+
+// rank orders states of the same heartbeat number, as in SWIM.
+func rank(state State) int {
+	switch state {
+	case Leaving:
+		return 1
+	case Suspect:
+		return 2
+	case Gone:
+		return 3
+	case stopped:
+		return 4
+	default:
+		return 0
+	}
+}
+
+// current returns the entry for a host's incarnation: a new one when the host
+// is unknown or restarted, nil when the incarnation is out of date.
+func (m *Members) current(host Host, now time.Time) *entry {
+	e, ok := m.entries[host.ID]
+	switch {
+	case !ok:
+		host.State = Alive
+		return m.add(host, now)
+	case host.Incarnation < e.host.Incarnation:
+		return nil
+	case host.Incarnation > e.host.Incarnation:
+		m.replace(e, host, now)
+	}
+	return e
+}
+
+// replace puts a restarted host in the place of its earlier incarnation.
+func (m *Members) replace(e *entry, host Host, now time.Time) {
+	from := e.host.State
+	copies := e.copies
+	host.State = Alive
+	*e = entry{host: host, limit: m.settings.MissedLimit, changed: now, copies: copies}
+	m.probing.put(host.ID, false)
+	m.troubled.put(host.ID, false)
+	m.spread(e)
+	m.version++
+	m.changes = append(m.changes, Change{Host: host, From: from})
+}
+
+// accept takes over what is newer about a host and moves it to a state.
+func (m *Members) accept(e *entry, host Host, state State, now time.Time) {
+	announced := e.host.Heartbeat != host.Heartbeat
+	host.State = e.host.State
+	e.host = host
+	e.awaited = false
+	e.misses = 0
+	if announced {
+		m.spread(e)
+	}
+	switch state {
+	case stopped:
+		e.stopped = true
+		m.spread(e)
+		m.setState(e, Gone, now)
+	case Alive, Suspect, Leaving, Gone:
+		m.setState(e, state, now)
+	}
+}
+
+// ObserveStore takes a complete, successful read of the host records. It is not
+// called while the store is out, so that an outage changes nobody's state.
+func (m *Members) ObserveStore(records []*ledgerv1.HostRecord, now time.Time) []Change {
+	present := make(map[dcid.HostID]int64, len(records))
+	for _, record := range records {
+		host := fromRecord(record)
+		present[host.ID] = host.Incarnation
+		if host.ID != "" && host.ID != m.self.ID && host.PeerAddress != "" {
+			m.current(host, now)
+		}
+	}
+	for _, id := range m.troubled.sorted() {
+		e := m.entries[id]
+		m.corroborate(e, present[id] != e.host.Incarnation, now)
+	}
+	return m.takeChanges()
+}
+
+// ListedHost is one entry of the host list.
+type ListedHost struct {
+	// Address is the caller or peer address of the host.
+	Address string
+	Leaving bool
+}
+
+// ObserveList takes a successful read of the host list.
+func (m *Members) ObserveList(listed []ListedHost, now time.Time) []Change {
+	live := make(map[string]bool, len(listed))
+	for _, host := range listed {
+		live[host.Address] = !host.Leaving
+	}
+	for _, id := range m.troubled.sorted() {
+		e := m.entries[id]
+		found := live[e.host.CallerAddress] || live[e.host.PeerAddress]
+		m.corroborate(e, !found, now)
+	}
+	return m.takeChanges()
+}
+
+// corroborate moves a suspect to gone when a second source agrees. Hosts that
+// are heard are not affected.
+func (m *Members) corroborate(e *entry, absent bool, now time.Time) {
+	if e.host.State != Suspect || !absent {
+		return
+	}
+	e.absent = true
+	m.setState(e, Gone, now)
+}
+
+func fromWire(member *peerv1.Member) Host {
+	host := Host{
+		ID:            dcid.HostID(member.GetHostId()),
+		Incarnation:   member.GetIncarnation(),
+		Domain:        dcid.FailureDomain(member.GetFailureDomain()),
+		CallerAddress: member.GetCallerAddress(),
+		PeerAddress:   member.GetPeerAddress(),
+		Revision:      dcid.Revision(member.GetRevision()),
+		Heartbeat:     member.GetHeartbeat(),
+		Seat:          int(member.GetSeat()),
+	}
+	if taken := member.GetSeatTakenMs(); taken != 0 {
+		host.SeatTaken = time.UnixMilli(taken)
+	}
+	return host
+}
+
+func fromRecord(record *ledgerv1.HostRecord) Host {
+	return Host{
+		ID:            dcid.HostID(record.GetHostId()),
+		Incarnation:   record.GetIncarnation(),
+		Domain:        dcid.FailureDomain(record.GetFailureDomain()),
+		CallerAddress: record.GetCallerAddress(),
+		PeerAddress:   record.GetPeerAddress(),
+	}
+}
--- /dev/null
+++ b/internal/dcmembership/owners.go
@@ -0,0 +1,58 @@
+package dcmembership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+)
+
+// Score is the rendezvous (highest random weight) score of a host for a key.
+func Score(key string, id dcid.HostID) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(key)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(string(id))
+	return digest.Sum64()
+}
+
+// Rank returns the hosts in rendezvous order for a key. Losing a host moves
+// only the keys that it ranked first for.
+func Rank(key string, hosts []Host) []Host {
+	type scored struct {
+		host  Host
+		score uint64
+	}
+	ranked := make([]scored, 0, len(hosts))
+	for _, host := range hosts {
+		ranked = append(ranked, scored{host: host, score: Score(key, host.ID)})
+	}
+	slices.SortFunc(ranked, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.host.ID, b.host.ID))
+	})
+	ordered := make([]Host, 0, len(ranked))
+	for _, r := range ranked {
+		ordered = append(ordered, r.host)
+	}
+	return ordered
+}
+
+// Owners returns the first hosts in rendezvous order among those alive, at
+// most count of them.
+func Owners(key string, hosts []Host, count int) []dcid.HostID {
+	alive := make([]Host, 0, len(hosts))
+	for _, host := range hosts {
+		if host.State == Alive {
+			alive = append(alive, host)
+		}
+	}
+	ranked := Rank(key, alive)
+	owners := make([]dcid.HostID, 0, count)
+	for _, host := range ranked[:min(count, len(ranked))] {
+		owners = append(owners, host.ID)
+	}
+	return owners
+}
