Add connection seats and shares

A host cut off from the store and from the new holder only learns of its loss when other hosts pass on the seats that they read.

Limit: hosts that hear only each other and are all cut off from the store for longer than 600 s keep their shares, since they cannot tell this from an outage of the store.

--- a/internal/dcmembership/evidence.go
+++ b/internal/dcmembership/evidence.go
@@ -69,9 +69,14 @@
 		return
 	}
 	e := m.current(host, now)
-	if e == nil || e.stopped || host.Heartbeat < e.host.Heartbeat {
+	if e == nil {
 		return
 	}
+	m.updateSeat(e, host.Seat, host.SeatTaken)
+	if e.stopped || host.Heartbeat < e.host.Heartbeat {
+		return
+	}
+	host.Seat, host.SeatTaken = e.host.Seat, e.host.SeatTaken
 	host.Heard = e.host.Heard
 	if state != stopped && m.recentlyHeard(e) && (state == Suspect || state == Gone) {
 		// A live direct heartbeat outranks what others say; let the host refute.
@@ -215,6 +220,26 @@
 	m.setState(e, Gone, now)
 }
 
+// ObserveSeat takes the seat of a host as read from the store and spreads it, so
+// that the former holder hears of it even when it reaches neither the store nor
+// the new holder.
+func (m *Members) ObserveSeat(id dcid.HostID, seat int, taken time.Time) {
+	if e, ok := m.entries[id]; ok {
+		m.updateSeat(e, seat, taken)
+	}
+}
+
+// updateSeat keeps the seat that was taken last.
+func (m *Members) updateSeat(e *entry, seat int, taken time.Time) {
+	if !taken.After(e.host.SeatTaken) {
+		return
+	}
+	e.host.Seat = seat
+	e.host.SeatTaken = taken
+	m.spread(e)
+	m.version++
+}
+
 func fromWire(member *peerv1.Member) Host {
 	host := Host{
 		ID:            dcid.HostID(member.GetHostId()),
