--- /dev/null
+++ b/internal/dccapacity/membership.go
@@ -0,0 +1,213 @@
+package dccapacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcconfig"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcmembership"
+	ledgerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/ledger/v1"
+	peerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/peer/v1"
+)
+
+const (
+	settleRounds  = 40
+	steadyRounds  = 60
+	maxRounds     = 200
+	restartRounds = 36 // 86,400 s a day over 2,400 restarts
+)
+
+// MembershipCost is what one host spends on membership in one heartbeat
+// interval, and how fast news spread, in intervals.
+type MembershipCost struct {
+	// Processor is the time for one interval of one host.
+	Processor time.Duration
+	// BytesSent and BytesReceived count messages of one host without the
+	// overhead of HTTP.
+	BytesSent, BytesReceived float64
+	// Heap is the live memory of one host's view in bytes.
+	Heap float64
+	// SuspectRounds is the time until every host suspects a killed one.
+	SuspectRounds int
+	// RevisionRounds is the time until a new configuration revision has
+	// reached every host from the watchers of the store.
+	RevisionRounds int
+}
+
+// group is a set of instances that exchange heartbeats in lockstep.
+type group struct {
+	members  map[dcid.HostID]*dcmembership.Members
+	adopters map[dcid.HostID]dcid.Revision
+	order    []dcid.HostID
+	hosts    []dcmembership.Host
+	dead     map[dcid.HostID]bool
+	now      time.Time
+	sent     int
+	random   *rand.Rand
+}
+
+// MeasureMembership runs size instances in one process.
+func MeasureMembership(size int, seed uint64) (cost MembershipCost) {
+	before := liveHeap()
+	g := newGroup(size, seed)
+	g.rounds(settleRounds)
+	cost.Heap = float64(liveHeap()-before) / float64(size)
+	g.sent = 0
+	steady := measure(func() {
+		for round := range steadyRounds {
+			if round%restartRounds == 0 {
+				g.restart(g.order[g.random.IntN(size)])
+			}
+			g.round()
+		}
+	})
+	perHost := float64(size * steadyRounds)
+	cost.Processor = time.Duration(float64(steady.elapsed) / perHost)
+	cost.BytesSent = float64(g.sent) / perHost
+	cost.BytesReceived = cost.BytesSent
+	cost.RevisionRounds = g.spreadRevision()
+	cost.SuspectRounds = g.detect(g.order[0])
+	return cost
+}
+
+func newGroup(size int, seed uint64) *group {
+	g := &group{
+		members:  make(map[dcid.HostID]*dcmembership.Members, size),
+		adopters: make(map[dcid.HostID]dcid.Revision, size),
+		dead:     map[dcid.HostID]bool{},
+		now:      time.Unix(1_700_000_000, 0),
+		random:   rand.New(rand.NewPCG(seed, 0)),
+	}
+	records := make([]*ledgerv1.HostRecord, 0, size)
+	for index := range size {
+		host := dcmembership.Host{
+			ID:            dcid.HostID(fmt.Sprintf("host-%04d", index)),
+			Incarnation:   g.now.UnixNano(),
+			Domain:        dcid.FailureDomain(fmt.Sprintf("domain-%02d", index%Target.FailureDomains)),
+			CallerAddress: fmt.Sprintf("10.%d.%d.1:8080", index/250, index%250),
+			PeerAddress:   fmt.Sprintf("10.%d.%d.1:8081", index/250, index%250),
+			State:         dcmembership.Alive,
+		}
+		g.hosts = append(g.hosts, host)
+		g.order = append(g.order, host.ID)
+		records = append(records, &ledgerv1.HostRecord{
+			HostId: string(host.ID), Incarnation: host.Incarnation, FailureDomain: string(host.Domain),
+			CallerAddress: host.CallerAddress, PeerAddress: host.PeerAddress, State: string(host.State),
+		})
+	}
+	for index, host := range g.hosts {
+		random := rand.New(rand.NewPCG(seed, uint64(index)+1))
+		g.members[host.ID] = dcmembership.New(host, dcmembership.Settings{}, random)
+		g.members[host.ID].ObserveStore(records, g.now)
+	}
+	return g
+}
+
+func (g *group) rounds(count int) {
+	for range count {
+		g.round()
+	}
+}
+
+// round is one heartbeat interval of every live instance.
+func (g *group) round() {
+	g.now = g.now.Add(HeartbeatInterval)
+	for _, id := range g.order {
+		if g.dead[id] {
+			continue
+		}
+		targets, _ := g.members[id].Begin(g.now)
+		for _, target := range targets {
+			if !g.dead[target.ID] {
+				g.exchange(id, target.ID)
+			}
+		}
+	}
+}
+
+func (g *group) exchange(from, to dcid.HostID) {
+	sender, members := g.members[from].Message(to)
+	g.deliver(to, sender, members)
+	sender, members = g.members[to].Message(from)
+	g.deliver(from, sender, members)
+}
+
+func (g *group) deliver(to dcid.HostID, sender *peerv1.Member, members []*peerv1.Member) {
+	g.sent += proto.Size(&peerv1.ExchangeRequest{Sender: sender, Members: members})
+	g.members[to].Receive(sender, members, g.now)
+	if revision := dcid.Revision(sender.GetRevision()); revision > g.adopters[to] {
+		g.adopt(to, revision)
+	}
+}
+
+func (g *group) adopt(id dcid.HostID, revision dcid.Revision) {
+	g.adopters[id] = revision
+	g.members[id].SetSelf(dcmembership.Alive, revision, 0, time.Time{})
+}
+
+// restart replaces an instance by one with a higher incarnation that learns of
+// the others from the first peer.
+func (g *group) restart(id dcid.HostID) {
+	for index, host := range g.hosts {
+		if host.ID != id {
+			continue
+		}
+		host.Incarnation = g.now.UnixNano()
+		g.hosts[index] = host
+		fresh := dcmembership.New(host, dcmembership.Settings{}, rand.New(rand.NewPCG(g.random.Uint64(), 0)))
+		var records []*ledgerv1.HostRecord
+		for _, other := range g.hosts {
+			records = append(records, &ledgerv1.HostRecord{
+				HostId: string(other.ID), Incarnation: other.Incarnation, FailureDomain: string(other.Domain),
+				CallerAddress: other.CallerAddress, PeerAddress: other.PeerAddress, State: string(other.State),
+			})
+		}
+		fresh.ObserveStore(records, g.now)
+		g.members[id] = fresh
+	}
+}
+
+// spreadRevision counts intervals from the adoption by the watchers of the
+// store until every host has adopted a new revision from a peer.
+func (g *group) spreadRevision() int {
+	members := make([]dcconfig.Member, 0, len(g.hosts))
+	for _, host := range g.hosts {
+		members = append(members, dcconfig.Member{Host: host.ID, FailureDomain: host.Domain})
+	}
+	for _, id := range g.order {
+		if dcconfig.Watches(id, members) {
+			g.adopt(id, 1)
+		}
+	}
+	return g.count(func(id dcid.HostID) bool { return g.adopters[id] == 1 })
+}
+
+// detect kills a host and counts intervals until every other one suspects it.
+func (g *group) detect(victim dcid.HostID) int {
+	g.dead[victim] = true
+	return g.count(func(id dcid.HostID) bool {
+		host, ok := g.members[id].Host(victim)
+		return !ok || host.State == dcmembership.Suspect || host.State == dcmembership.Gone
+	})
+}
+
+// count runs rounds until done holds for every live host.
+func (g *group) count(done func(dcid.HostID) bool) int {
+	for round := range maxRounds {
+		open := 0
+		for _, id := range g.order {
+			if !g.dead[id] && !done(id) {
+				open++
+			}
+		}
+		if open == 0 {
+			return round
+		}
+		g.round()
+	}
+	return maxRounds
+}
--- /dev/null
+++ b/internal/dccapacity/target.go
@@ -0,0 +1,45 @@
+package dccapacity
+
+import "time"
+
+// Target is the size that the design is worked out for, from the users'
+// letter.
+var Target = Size{
+	Hosts:             1300,
+	Servers:           10000,
+	QueriesPerSecond:  320000,
+	ServersPerQuery:   310,
+	FailureDomains:    12,
+	Regions:           6,
+	ChangesPerDay:     740,
+	RestartsPerDay:    2400,
+	FailedHostsPerDay: 24,
+}
+
+// Size describes a deployment.
+type Size struct {
+	Hosts             int `json:"hosts"`
+	Servers           int `json:"servers"`
+	QueriesPerSecond  int `json:"queries-per-second"`
+	ServersPerQuery   int `json:"servers-per-query"`
+	FailureDomains    int `json:"failure-domains"`
+	Regions           int `json:"regions"`
+	ChangesPerDay     int `json:"changes-per-day"`
+	RestartsPerDay    int `json:"restarts-per-day"`
+	FailedHostsPerDay int `json:"failed-hosts-per-day"`
+}
+
+// Limits of the control plane for one host at the target, from the users'
+// letter.
+const (
+	LimitCore          = 0.016
+	LimitBytes         = 256 << 20
+	LimitBytesPerSec   = 4 << 10
+	LimitStoreWrites   = 300.0
+	LimitStoreReads    = 2000.0
+	HeartbeatInterval  = time.Second
+	LimitConfigInForce = 5 * time.Second
+)
+
+// Sizes are the numbers of instances that are measured.
+var Sizes = []int{4, 16, 64, 256, 640, 1300}
