--- a/internal/dcsettings/defaults.go
+++ b/internal/dcsettings/defaults.go
@@ -1,6 +1,8 @@
 package dcsettings
 
 import (
+	"sync"
+
 	"go.yaml.in/yaml/v3"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
@@ -57,22 +59,39 @@
 	for i := range fields.Len() {
 		field := fields.Get(i)
 		at := join(path, field.JSONName())
-		if _, set := r.lines[at]; set || !isMessage(field) || field.IsList() {
+		if r.given(at) || !isMessage(field) || field.IsList() {
 			continue
 		}
 		if filledMessages[field.Message().Name()] {
 			r.fillDefaults(at, message.Mutable(field).Message())
 		}
 	}
+	for _, entry := range defaultNodes()[string(message.Descriptor().Name())] {
+		r.fillDefault(path, message, entry)
+	}
+}
+
+// defaultNode is a default with its parsed value.
+type defaultNode struct {
+	Default
+	node *yaml.Node
+}
+
+// defaultNodes parses Defaults once, by message.
+var defaultNodes = sync.OnceValue(func() map[string][]defaultNode {
+	parsed := map[string][]defaultNode{}
 	for _, entry := range Defaults {
-		if string(message.Descriptor().Name()) == entry.Message {
-			r.fillDefault(path, message, entry)
+		var document yaml.Node
+		if err := yaml.Unmarshal([]byte(entry.Value), &document); err != nil {
+			panic(err)
 		}
+		parsed[entry.Message] = append(parsed[entry.Message], defaultNode{Default: entry, node: document.Content[0]})
 	}
-}
+	return parsed
+})
 
-func (r *reader) fillDefault(path string, message protoreflect.Message, entry Default) {
-	if _, set := r.lines[join(path, entry.Field)]; set {
+func (r *reader) fillDefault(path string, message protoreflect.Message, entry defaultNode) {
+	if r.given(join(path, entry.Field)) {
 		return
 	}
 	group, isGroup := message.Interface().(*settingsv1.ServiceGroup)
@@ -80,11 +99,7 @@
 		return
 	}
 	field := message.Descriptor().Fields().ByJSONName(entry.Field)
-	var node yaml.Node
-	if err := yaml.Unmarshal([]byte(entry.Value), &node); err != nil {
-		panic(err)
-	}
-	value, err := decodeScalar(node.Content[0], field)
+	value, err := decodeScalar(entry.node, field)
 	if err != nil {
 		panic(err)
 	}
