Add the command line

Every command has a package with its options and one run function; main holds the grammar. Requests that may run twice move on to the next host after a lost reply, orders do not.

--- /dev/null
+++ b/cmd/dandelioncart/main_test.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dandelioncart/dandelioncart/internal/dccommand"
+)
+
+// fakeHosts answers requests from a script and records them.
+type fakeHosts struct {
+	replies []reply
+	seen    bytes.Buffer
+}
+
+// reply is one answer; a failure is "refused" or "lost".
+type reply struct {
+	status  int
+	body    string
+	failure string
+}
+
+func (h *fakeHosts) RoundTrip(request *http.Request) (*http.Response, error) {
+	h.record(request)
+	if len(h.replies) == 0 {
+		return nil, errors.New("no reply in the script")
+	}
+	next := h.replies[0]
+	h.replies = h.replies[1:]
+	switch next.failure {
+	case "refused":
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errors.New("connection refused")}
+	case "lost":
+		return nil, io.ErrUnexpectedEOF
+	}
+	return &http.Response{
+		StatusCode: next.status,
+		Header:     http.Header{},
+		Body:       io.NopCloser(strings.NewReader(next.body)),
+		Request:    request,
+	}, nil
+}
+
+func (h *fakeHosts) record(request *http.Request) {
+	department, credential, _ := request.BasicAuth()
+	fmt.Fprintf(&h.seen, "> %s %s %s:%s %s", request.Method, request.URL, department, credential, request.Header.Get("Request-Timeout-Ms"))
+	body, _ := io.ReadAll(request.Body)
+	if len(body) > 0 {
+		h.seen.WriteByte(' ')
+		// protojson varies its white space.
+		_ = json.Compact(&h.seen, body)
+	}
+	h.seen.WriteByte('\n')
+}
+
+// TestCommands guards against commands that send something else than their
+// arguments say, and against exit codes that misreport an outcome. A script
+// sets replies, then runs a command and shows requests, output and exit code.
+func TestCommands(t *testing.T) {
+	setEnvironment(t)
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		hosts := &fakeHosts{}
+		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
+			switch data.Cmd {
+			case "reply":
+				status := 200
+				if data.HasArg("status") {
+					data.ScanArgs(t, "status", &status)
+				}
+				hosts.replies = append(hosts.replies, reply{status: status, body: data.Input})
+				return ""
+			case "refused", "lost":
+				times := 1
+				if data.HasArg("times") {
+					data.ScanArgs(t, "times", &times)
+				}
+				hosts.replies = append(hosts.replies, slices.Repeat([]reply{{failure: data.Cmd}}, times)...)
+				return ""
+			case "run":
+				return run(t, hosts, strings.Split(data.Input, "\n"))
+			}
+			t.Fatalf("unknown directive %s", data.Cmd)
+			return ""
+		})
+	})
+}
+
+func setEnvironment(t *testing.T) {
+	t.Setenv("DANDELIONCART_ADDRESS", "10.0.0.1:7100,10.0.0.2:7100")
+	t.Setenv("DANDELIONCART_DEPARTMENT", "kitchen")
+	t.Setenv("DANDELIONCART_CREDENTIAL", "secret")
+}
+
+// run takes one argument from each line; after a line with a single dot come
+// the lines of standard input.
+func run(t *testing.T, hosts *fakeHosts, lines []string) string {
+	var input string
+	for i, line := range lines {
+		if line == "." {
+			input = strings.Join(lines[i+1:], "\n")
+			lines = lines[:i]
+			break
+		}
+	}
+	status, output := execute(t, hosts, input, strings.Fields(strings.Join(lines, " "))...)
+	left := len(hosts.replies)
+	hosts.replies = nil
+	seen := hosts.seen.String()
+	hosts.seen.Reset()
+	return fmt.Sprintf("%s%sexit %d, %d replies left\n", seen, output, status, left)
+}
+
+func execute(t *testing.T, hosts *fakeHosts, input string, arguments ...string) (int, string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	clock := clockwork.NewFakeClockAt(time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC))
+	go advance(ctx, clock)
+	var output bytes.Buffer
+	tool := &dccommand.Tool{
+		In:     strings.NewReader(input),
+		Out:    &output,
+		Err:    &output,
+		Clock:  clock,
+		HTTP:   &http.Client{Transport: hosts},
+		Random: rand.New(rand.NewSource(1)),
+	}
+	status := dccommand.Execute(ctx, tool, &commands{}, arguments)
+	return status, output.String()
+}
+
+// advance ends every sleep of a command at once.
+func advance(ctx context.Context, clock *clockwork.FakeClock) {
+	for clock.BlockUntilContext(ctx, 1) == nil {
+		clock.Advance(time.Second)
+	}
+}
+
+// TestHelp guards against commands without examples or exit codes in their
+// help.
+func TestHelp(t *testing.T) {
+	for _, command := range []string{
+		"config check", "config apply", "config get", "config history", "config status", "addresses", "query",
+		"order run", "order outcome", "report burn", "report department", "credential digest", "version",
+	} {
+		status, output := execute(t, &fakeHosts{}, "", append(strings.Fields(command), "--help")...)
+		if status != 0 || !strings.Contains(output, "dandelioncart "+command) || !strings.Contains(output, "Examples:") {
+			t.Errorf("%s: status %d, help:\n%s", command, status, output)
+		}
+		if command != "version" && !strings.Contains(output, "Exit codes:") {
+			t.Errorf("%s: help has no exit codes", command)
+		}
+	}
+}
+
+// TestExamples guards against example files that the tool refuses.
+func TestExamples(t *testing.T) {
+	for pattern, flag := range map[string]string{"configuration.yaml": "", "host-*.yaml": "--host"} {
+		files, err := filepath.Glob(filepath.Join("..", "..", "examples", "*", pattern))
+		if err != nil || len(files) < 2 {
+			t.Fatalf("%s: %v %v", pattern, files, err)
+		}
+		arguments := append([]string{"config", "check"}, files...)
+		if flag != "" {
+			arguments = append(arguments, flag)
+		}
+		if status, output := execute(t, &fakeHosts{}, "", arguments...); status != 0 {
+			t.Errorf("%s: status %d\n%s", pattern, status, output)
+		}
+	}
+}
+
+// TestPage guards against a page whose labels break out of its scripts.
+func TestPage(t *testing.T) {
+	setEnvironment(t)
+	directory := t.TempDir()
+	file, script := filepath.Join(directory, "burn.html"), filepath.Join(directory, "echarts.min.js")
+	if err := os.WriteFile(script, []byte("var inlined = 1"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	report := `{"result":{"outcome":"ran","reason":"ok"},"rows":[{"service-group":"</script>find","department":"kitchen","objective":"latency","requests":10,"good":9,"burn":{"1h":2.5}}]}`
+	for _, arguments := range [][]string{{"--script", script}, nil} {
+		hosts := &fakeHosts{replies: []reply{{status: 200, body: report}}}
+		status, output := execute(t, hosts, "", append([]string{"report", "burn", "--html", file}, arguments...)...)
+		page, err := os.ReadFile(file)
+		if status != 0 || err != nil {
+			t.Fatalf("status %d, error %v\n%s", status, err, output)
+		}
+		text := string(page)
+		inlined := strings.Contains(text, "var inlined = 1") && !strings.Contains(text, "src=")
+		if inlined != (arguments != nil) || !strings.Contains(text, "2.5") || strings.Contains(text, "</script>find") {
+			t.Errorf("page for %v:\n%s", arguments, text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dccommand/dcaddressescommand/addresses.go
@@ -0,0 +1,51 @@
+// Package dcaddressescommand asks which entry hosts to use.
+package dcaddressescommand
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/dandelioncart/dandelioncart/internal/dccommand"
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+)
+
+// Options of addresses.
+type Options struct {
+	dccommand.Target
+	dccommand.Output
+	ServiceGroup string `arg:"" help:"Service group to be called."`
+}
+
+// Help returns examples.
+func (o *Options) Help() string {
+	return `Addresses are printed in order of preference. Ask again after the lifetime.
+
+Examples:
+
+  dandelioncart addresses kitchen-search
+
+` + dccommand.ExitHelp()
+}
+
+// Run prints the addresses.
+func (o *Options) Run(ctx context.Context, tool *dccommand.Tool) error {
+	request := dccommand.Request{
+		Path:  "/v1/addresses",
+		Query: url.Values{"service-group": {o.ServiceGroup}},
+	}
+	answer := &callerv1.AddressesResponse{}
+	if err := o.Repeatable(ctx, tool, request, answer); err != nil {
+		return err
+	}
+	if o.JSON {
+		return dccommand.WriteJSON(tool.Out, answer)
+	}
+	for _, address := range answer.GetAddresses() {
+		_, _ = fmt.Fprintln(tool.Out, address)
+	}
+	lifetime := time.Duration(answer.GetLifetimeMs()) * time.Millisecond
+	_, err := fmt.Fprintf(tool.Err, "valid for %s\n", lifetime)
+	return err
+}
--- /dev/null
+++ b/internal/dccommand/dcconfigcheckcommand/configcheck.go
@@ -0,0 +1,73 @@
+// Package dcconfigcheckcommand checks settings files without calling a host.
+package dcconfigcheckcommand
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/dandelioncart/dandelioncart/internal/dccommand"
+	"github.com/dandelioncart/dandelioncart/internal/dcsettings"
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+)
+
+// Options of config check.
+type Options struct {
+	dccommand.Output
+	Host  bool     `help:"The files are host settings, not service configurations."`
+	Files []string `arg:"" help:"Files to check; - for standard input." name:"file"`
+}
+
+// Help returns examples.
+func (o *Options) Help() string {
+	return `Every fault is printed with its file, line and field.
+
+Examples:
+
+  dandelioncart config check configuration.yaml
+  dandelioncart config check --host host-1.yaml host-2.yaml
+
+` + dccommand.ExitHelp()
+}
+
+// Run checks every file before it returns.
+func (o *Options) Run(tool *dccommand.Tool) error {
+	answer := &callerv1.ApplyResponse{}
+	count := 0
+	for _, file := range o.Files {
+		faults, err := o.check(tool, file)
+		if err != nil {
+			return err
+		}
+		count += len(faults)
+		answer.Errors = append(answer.Errors, faults.Proto()...)
+		if !o.JSON && len(faults) > 0 {
+			_, _ = fmt.Fprintln(tool.Out, faults)
+		}
+	}
+	if o.JSON {
+		if err := dccommand.WriteJSON(tool.Out, answer); err != nil {
+			return err
+		}
+	}
+	if count > 0 {
+		return dccommand.Failf(dccommand.ExitInvalid, "errors found: %d; correct them and check again", count)
+	}
+	return nil
+}
+
+func (o *Options) check(tool *dccommand.Tool, file string) (dcsettings.Errors, error) {
+	document, err := dccommand.ReadInput(tool, file, dcsettings.MaxDocumentBytes+1)
+	if err != nil {
+		return nil, err
+	}
+	if o.Host {
+		_, err = dcsettings.ParseHost(file, document)
+	} else {
+		_, err = dcsettings.ParseConfiguration(file, document)
+	}
+	var faults dcsettings.Errors
+	if errors.As(err, &faults) {
+		return faults, nil
+	}
+	return nil, err
+}
--- /dev/null
+++ b/internal/dccommand/dcconfiggetcommand/configget.go
@@ -0,0 +1,58 @@
+// Package dcconfiggetcommand prints an accepted configuration.
+package dcconfiggetcommand
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+
+	"github.com/dandelioncart/dandelioncart/internal/dccommand"
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+)
+
+// Options of config get.
+type Options struct {
+	dccommand.Target
+	dccommand.Output
+	Out      string `name:"output" help:"File to write the document to; standard output when not set." type:"path" placeholder:"FILE"`
+	Revision uint32 `arg:"" optional:"" help:"Revision to get; the newest when not set."`
+}
+
+// Help returns examples.
+func (o *Options) Help() string {
+	return `The document is printed as it was applied. The revision, which config apply
+needs as its base, is printed to standard error.
+
+Examples:
+
+  dandelioncart config get --output configuration.yaml
+  dandelioncart config get 7
+
+` + dccommand.ExitHelp()
+}
+
+// Run gets and prints one revision.
+func (o *Options) Run(ctx context.Context, tool *dccommand.Tool) error {
+	name := "latest"
+	if o.Revision > 0 {
+		name = strconv.FormatUint(uint64(o.Revision), 10)
+	}
+	answer := &callerv1.ConfigResponse{}
+	if err := o.Repeatable(ctx, tool, dccommand.Request{Path: "/v1/config/revisions/" + name}, answer); err != nil {
+		return err
+	}
+	if err := dccommand.CheckResult(answer.GetResult()); err != nil {
+		return err
+	}
+	if o.JSON {
+		return dccommand.WriteJSON(tool.Out, answer)
+	}
+	revision := answer.GetRevision()
+	_, _ = fmt.Fprintf(tool.Err, "revision %d by %s at %s\n", revision.GetRevision(), revision.GetDepartment(), revision.GetTime())
+	if o.Out != "" {
+		return os.WriteFile(o.Out, []byte(answer.GetDocument()), 0o600)
+	}
+	_, err := fmt.Fprint(tool.Out, answer.GetDocument())
+	return err
+}
--- /dev/null
+++ b/internal/dccommand/dcorderoutcomecommand/orderoutcome.go
@@ -0,0 +1,51 @@
+// Package dcorderoutcomecommand looks up what became of an order.
+package dcorderoutcomecommand
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+
+	"github.com/dandelioncart/dandelioncart/internal/dccommand"
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+)
+
+// Options of order outcome.
+type Options struct {
+	dccommand.Target
+	dccommand.Output
+	ServiceGroup string `arg:"" help:"Service group of the order."`
+	Key          string `arg:"" help:"Key of the order."`
+}
+
+// Help returns examples.
+func (o *Options) Help() string {
+	return `The exit code is 0 when the order ran, 6 when it did not run and 7 when that is
+not known.
+
+Examples:
+
+  dandelioncart order outcome mill-orders 01936f5e-7c1a-7d3e-9a51-3f0c2c1f7a10
+
+` + dccommand.ExitHelp()
+}
+
+// Run prints the outcome.
+func (o *Options) Run(ctx context.Context, tool *dccommand.Tool) error {
+	path := "/v1/orders/" + url.PathEscape(o.ServiceGroup) + "/" + url.PathEscape(o.Key)
+	answer := &callerv1.OrderResponse{}
+	if err := o.Repeatable(ctx, tool, dccommand.Request{Path: path}, answer); err != nil {
+		return err
+	}
+	if o.JSON {
+		if err := dccommand.WriteJSON(tool.Out, answer); err != nil {
+			return err
+		}
+		return dccommand.CheckResult(answer.GetResult())
+	}
+	if err := dccommand.CheckResult(answer.GetResult()); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(tool.Out, "ran\n%s\n", answer.GetBody())
+	return err
+}
--- /dev/null
+++ b/internal/dccommand/dcorderruncommand/orderrun.go
@@ -0,0 +1,88 @@
+// Package dcorderruncommand sends an order that runs at most once.
+package dcorderruncommand
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/google/uuid"
+
+	"github.com/dandelioncart/dandelioncart/internal/dccommand"
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+)
+
+// Options of order run.
+type Options struct {
+	dccommand.Target
+	dccommand.Output
+	dccommand.Payload
+	SchemaVersion string `help:"Schema version of the records." required:""`
+	Key           string `help:"UUIDv7 of the order, to send it again; new when not set."`
+	ServiceGroup  string `arg:"" help:"Service group of the order."`
+	Service       string `arg:"" help:"Service that runs the order."`
+}
+
+// Help returns examples.
+func (o *Options) Help() string {
+	return `The key is printed to standard error before the order is sent. An order whose
+outcome is unknown is not sent again: ask with order outcome. To place the order
+again after a refusal, use the same key.
+
+Examples:
+
+  dandelioncart order run mill-orders mill-03 --schema-version 2026-06 --body '{"flour":"rye"}'
+  dandelioncart order run billing-desk desk-01 --schema-version lot-4 --body-file lot.json
+
+` + dccommand.ExitHelp()
+}
+
+// Run sends the order to the first host that accepts a connection.
+func (o *Options) Run(ctx context.Context, tool *dccommand.Tool) error {
+	request, err := o.request(tool)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(tool.Err, "key %s\n", request.GetKey())
+	answer := &callerv1.OrderResponse{}
+	err = o.Once(ctx, tool, dccommand.Request{Path: "/v1/order", Body: request}, answer)
+	if errors.Is(err, dccommand.ErrLost) {
+		return dccommand.Failf(dccommand.ExitUnknown, "the order may have run; ask with: order outcome %s %s: %s", o.ServiceGroup, request.GetKey(), err)
+	}
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		if err := dccommand.WriteJSON(tool.Out, answer); err != nil {
+			return err
+		}
+		return dccommand.CheckResult(answer.GetResult())
+	}
+	if err := dccommand.CheckResult(answer.GetResult()); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(tool.Out, "%s\n", answer.GetBody())
+	return err
+}
+
+func (o *Options) request(tool *dccommand.Tool) (*callerv1.OrderRequest, error) {
+	body, err := o.Read(tool)
+	if err != nil {
+		return nil, err
+	}
+	key := o.Key
+	if key == "" {
+		fresh, err := uuid.NewV7FromReader(tool.Random)
+		if err != nil {
+			return nil, err
+		}
+		key = fresh.String()
+	}
+	return &callerv1.OrderRequest{
+		ServiceGroup:  o.ServiceGroup,
+		Service:       o.Service,
+		SchemaVersion: o.SchemaVersion,
+		Key:           key,
+		Body:          body,
+	}, nil
+}
--- /dev/null
+++ b/internal/dccommand/dcreportburncommand/reportburn.go
@@ -0,0 +1,105 @@
+// Package dcreportburncommand reports how fast objectives spend their error
+// budgets.
+package dcreportburncommand
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+
+	"github.com/dandelioncart/dandelioncart/internal/dccommand"
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+)
+
+// maxScriptBytes is above the size of the full build of echarts, about 1 MiB.
+const maxScriptBytes = 8 << 20
+
+// Options of report burn.
+type Options struct {
+	dccommand.Target
+	dccommand.Output
+	dccommand.Period
+	HTML   string `name:"html" help:"Also write a page with plots to this file." type:"path" placeholder:"FILE"`
+	Script string `help:"Copy of echarts.min.js to put into the page. Without it the page holds the figures and loads the script for its plots from the network." type:"path" placeholder:"FILE"`
+}
+
+// Help returns examples.
+func (o *Options) Help() string {
+	return `A burn rate of 1 spends the error budget of an objective exactly; above 1 it will
+not last. The report names the hosts and minutes that it covers.
+
+Examples:
+
+  dandelioncart report burn --since 6h
+  dandelioncart report burn --html burn.html --script echarts.min.js
+
+` + dccommand.ExitHelp()
+}
+
+// Run prints the report and writes the page.
+func (o *Options) Run(ctx context.Context, tool *dccommand.Tool) error {
+	answer, err := dccommand.FetchReport(ctx, tool, &o.Target, &o.Period, "burn")
+	if err != nil {
+		return err
+	}
+	if o.HTML != "" {
+		if err := o.writePage(tool, answer); err != nil {
+			return err
+		}
+	}
+	if o.JSON {
+		return dccommand.WriteJSON(tool.Out, answer)
+	}
+	dccommand.WriteCoverage(tool, answer)
+	return dccommand.WriteTable(tool.Out, table(answer))
+}
+
+// table has a header row and one row for each group, department and objective.
+func table(answer *callerv1.ReportResponse) [][]string {
+	windows := dccommand.Windows(answer)
+	header := []string{"SERVICE-GROUP", "DEPARTMENT", "OBJECTIVE", "REQUESTS", "GOOD"}
+	for _, window := range windows {
+		header = append(header, "BURN-"+window)
+	}
+	rows := [][]string{header}
+	for _, row := range answer.GetRows() {
+		cells := []string{
+			row.GetServiceGroup(),
+			row.GetDepartment(),
+			row.GetObjective(),
+			strconv.FormatUint(uint64(row.GetRequests()), 10),
+			dccommand.GoodShare(row),
+		}
+		for _, window := range windows {
+			cells = append(cells, burn(row, window))
+		}
+		rows = append(rows, cells)
+	}
+	return rows
+}
+
+// burn formats the rate of a window, which a row may lack.
+func burn(row *callerv1.ReportRow, window string) string {
+	rate, ok := row.GetBurn()[window]
+	if !ok {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", rate)
+}
+
+func (o *Options) writePage(tool *dccommand.Tool, answer *callerv1.ReportResponse) error {
+	var script []byte
+	if o.Script != "" {
+		var err error
+		if script, err = dccommand.ReadInput(tool, o.Script, maxScriptBytes); err != nil {
+			return err
+		}
+	}
+	var page bytes.Buffer
+	if err := render(&page, answer, string(script)); err != nil {
+		return err
+	}
+	return os.WriteFile(o.HTML, page.Bytes(), 0o600)
+}
--- /dev/null
+++ b/internal/dccommand/dcreportdepartmentcommand/reportdepartment.go
@@ -0,0 +1,52 @@
+// Package dcreportdepartmentcommand reports a department's own requests.
+package dcreportdepartmentcommand
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/dandelioncart/dandelioncart/internal/dccommand"
+)
+
+// Options of report department.
+type Options struct {
+	dccommand.Target
+	dccommand.Output
+	dccommand.Period
+}
+
+// Help returns examples.
+func (o *Options) Help() string {
+	return `Requests are counted by outcome and by reason. The report names the hosts and
+minutes that it covers, and what was lost with a dead host.
+
+Examples:
+
+  dandelioncart report department --since 24h
+  dandelioncart report department --from 2026-12-01T06:00:00Z --until 2026-12-01T07:00:00Z --json
+
+` + dccommand.ExitHelp()
+}
+
+// Run prints the report.
+func (o *Options) Run(ctx context.Context, tool *dccommand.Tool) error {
+	answer, err := dccommand.FetchReport(ctx, tool, &o.Target, &o.Period, "department")
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		return dccommand.WriteJSON(tool.Out, answer)
+	}
+	dccommand.WriteCoverage(tool, answer)
+	rows := [][]string{{"SERVICE-GROUP", "DEPARTMENT", "REQUESTS", "OUTCOMES", "REASONS"}}
+	for _, row := range answer.GetRows() {
+		rows = append(rows, []string{
+			row.GetServiceGroup(),
+			row.GetDepartment(),
+			strconv.FormatUint(uint64(row.GetRequests()), 10),
+			dccommand.Counts(row.GetOutcomes()),
+			dccommand.Counts(row.GetReasons()),
+		})
+	}
+	return dccommand.WriteTable(tool.Out, rows)
+}
--- /dev/null
+++ b/internal/dccommand/output.go
@@ -0,0 +1,97 @@
+package dccommand
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+)
+
+// Output is embedded in the options of commands that print data.
+type Output struct {
+	JSON bool `name:"json" help:"Print JSON."`
+}
+
+// WriteJSON prints a message. The JSON is indented again, since protojson
+// varies its white space on purpose.
+func WriteJSON(out io.Writer, message proto.Message) error {
+	compact, err := protojson.Marshal(message)
+	if err != nil {
+		return err
+	}
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, compact, "", "  "); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(out, indented.String())
+	return err
+}
+
+// WriteTable prints rows in aligned columns.
+func WriteTable(out io.Writer, rows [][]string) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		_, _ = fmt.Fprintln(table, strings.Join(row, "\t"))
+	}
+	return table.Flush()
+}
+
+// ReadInput reads a file, or standard input for "-".
+func ReadInput(tool *Tool, path string, limit int64) ([]byte, error) {
+	if path == "-" {
+		return io.ReadAll(io.LimitReader(tool.In, limit))
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, Failf(ExitUsage, "input cannot be read: %s", err)
+	}
+	defer func() { _ = file.Close() }()
+	return io.ReadAll(io.LimitReader(file, limit))
+}
+
+// Payload is embedded in the options of commands that send an opaque body.
+type Payload struct {
+	Body     string `help:"Body of the request." xor:"body"`
+	BodyFile string `help:"File with the body; - for standard input." xor:"body" placeholder:"FILE"`
+}
+
+// maxPayloadBytes is above the largest max-body-bytes of a service group.
+const maxPayloadBytes = 17 << 20
+
+// Read returns the body.
+func (p *Payload) Read(tool *Tool) ([]byte, error) {
+	if p.BodyFile == "" {
+		return []byte(p.Body), nil
+	}
+	return ReadInput(tool, p.BodyFile, maxPayloadBytes)
+}
+
+// Period is embedded in the options of reports.
+type Period struct {
+	From  time.Time     `help:"First minute, RFC 3339; --since before --until when not set."`
+	Until time.Time     `help:"Last minute, RFC 3339; now when not set."`
+	Since time.Duration `help:"Length of the period when --from is not set." default:"1h"`
+}
+
+// Bounds returns the first and last minute.
+func (p *Period) Bounds(tool *Tool) (from, until time.Time, err error) {
+	until = p.Until
+	if until.IsZero() {
+		until = tool.Clock.Now()
+	}
+	from = p.From
+	if from.IsZero() {
+		from = until.Add(-p.Since)
+	}
+	if from.After(until) {
+		return from, until, Failf(ExitUsage, "the period ends before it starts: give --from before --until")
+	}
+	return from.UTC(), until.UTC(), nil
+}
