--- a/internal/dcsettings/group.go
+++ b/internal/dcsettings/group.go
@@ -89,7 +89,7 @@
 	if coverage == CoverageComplete && s.check.given(path+".min-coverage") {
 		s.check.at(path+".min-coverage", "contradicts coverage complete; remove it or set coverage: partial")
 	}
-	if s.check.given(path+".key-retention") {
+	if s.check.given(path + ".key-retention") {
 		s.check.at(path+".key-retention", "only applies to groups of kind order; remove it")
 	}
 }
