Cover four mechanisms that no test held in place

Removing each mechanism in turn on a scratch copy left four without a failing test: no hedge while a replica sheds, the report of an epoch with more shards than exist, the decrease of the concurrency limit, and slow start. Each has one now.

--- a/internal/dcadmission/queue_test.go
+++ b/internal/dcadmission/queue_test.go
@@ -36,7 +36,8 @@
 }
 
 // TestGoodput guards against goodput that falls past saturation, because slots
-// are spent on requests that miss their deadlines.
+// are spent on requests that miss their deadlines, and against a queue in the
+// server, where requests of all departments wait alike.
 func TestGoodput(t *testing.T) {
 	for _, reported := range []bool{true, false} {
 		goodput := make(map[float64]float64)
@@ -48,6 +49,9 @@
 			goodput[load] = float64(r.good()) / capacity
 			t.Logf("seed %d, reported %t, load %.1f: goodput %.3f of capacity, limit %d, bakers %+v",
 				testSeed, reported, load, goodput[load], r.queue.Limit(), *r.results["bakers"])
+			if r.maxRunning > 2*testSlots {
+				t.Errorf("seed %d, reported %t, load %.1f: %d requests wait or run in the server", testSeed, reported, load, r.maxRunning)
+			}
 			if goodput[load] < 0.9*goodput[1] || goodput[load] < 0.85 {
 				t.Errorf("seed %d, reported %t, load %.1f: goodput %.3f, at load 1 %.3f",
 					testSeed, reported, load, goodput[load], goodput[1])
@@ -122,6 +126,32 @@
 	}
 }
 
+// TestRecoveryTime guards against a limit that climbs by small steps from its
+// floor after an outage.
+func TestRecoveryTime(t *testing.T) {
+	const slots = 200
+	const from, until = 10 * time.Second, 13 * time.Second
+	r := newRig(t, testSeed, testConfig(), 0)
+	r.slots = func(at time.Duration) int {
+		if at >= from && at < until {
+			return 0
+		}
+		return slots
+	}
+	r.arrivals(offer{"bakers", 1.3 * slots}, 0, until+time.Minute)
+	r.run(until)
+	lowest := r.queue.Limit()
+	at := until
+	for r.queue.Limit() < slots && at < until+time.Minute {
+		at += serviceTime
+		r.run(at)
+	}
+	t.Logf("seed %d: limit %d at the end of the outage, %d after %v", testSeed, lowest, r.queue.Limit(), at-until)
+	if lowest > slots/2 || at-until > 300*time.Millisecond {
+		t.Errorf("seed %d: limit %d at the end of the outage, recovered after %v", testSeed, lowest, at-until)
+	}
+}
+
 // steady returns a queue that knows the service time, runs one request at a
 // time and has one running.
 func steady(t *testing.T, maxQueue int) *Queue {
--- a/internal/dcadmission/rig_test.go
+++ b/internal/dcadmission/rig_test.go
@@ -191,9 +191,10 @@
 	}
 }
 
-// clear forgets the counts so far.
+// clear forgets what was counted so far.
 func (r *rig) clear() {
 	r.results = make(map[dcid.Department]*result)
+	r.maxRunning = 0
 }
 
 func (r *rig) good() int {
--- a/internal/dcquery/query_test.go
+++ b/internal/dcquery/query_test.go
@@ -271,6 +271,30 @@
 	}
 }
 
+// TestNoHedgeWhileShedding guards against hedges that add to an overload: a
+// slow shard is not hedged while one of its servers sheds load.
+func TestNoHedgeWhileShedding(t *testing.T) {
+	for _, shedding := range []bool{false, true} {
+		budget := dcbudget.NewGroup(0.9, 0.1).NewBudget()
+		for range 300 {
+			budget.RecordLatency(5*time.Millisecond, epoch)
+		}
+		pin := testPin(1, "v1", 1)
+		options := testOptions(1)
+		options.Budget = budget
+		r := rig{}
+		r.serve = func(send Action) reply {
+			if shedding {
+				budget.RecordShed(send.Server, epoch)
+			}
+			return ok(send.Label, 20*time.Millisecond)
+		}
+		if answer := r.run(t, New(pin, options), epoch); (answer.Stats.Hedges == 0) != shedding {
+			t.Errorf("shedding %t: %d hedges", shedding, answer.Stats.Hedges)
+		}
+	}
+}
+
 // TestCanary guards against a request that crashes each server that runs it.
 func TestCanary(t *testing.T) {
 	crash := fail(dcreason.Unknown, dcreason.UpstreamCrashed)
--- a/internal/dcshardmap/table_test.go
+++ b/internal/dcshardmap/table_test.go
@@ -102,9 +102,14 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			if got := describe(newTable(t, test.reports...).Pin()); got != test.want {
+			table := newTable(t, test.reports...)
+			if got := describe(table.Pin()); got != test.want {
 				t.Errorf("pin %q, want %q", got, test.want)
 			}
+			contradicts := strings.Contains(test.name, "tie") || strings.Contains(test.name, "more shards")
+			if got := len(table.Conflicts()); (got == 1) != contradicts {
+				t.Errorf("%d conflicts", got)
+			}
 		})
 	}
 }
