Let a query wait for a newer map, and spread its shards

Status reports lag behind the answers, so a query often learns that a version is gone before any newer pin is known, and then was partial or refused although a newer pin came a moment later. The host should poll the status of a server that answers 409 or 410.

First replicas are taken in turn, compared with a random one by load: 30 shards on the same 3 servers are sent as 10 each. Two random choices left this to chance, as the load of a server does not change while one query is scattered.

--- a/internal/dcquery/coverage.go
+++ b/internal/dcquery/coverage.go
@@ -125,6 +125,7 @@
 	}
 	q.cancelAll()
 	q.finished = true
+	q.timed = nil
 	answer := &Answer{Code: code, Outcome: q.outcome(), Coverage: coverage(q.pin, q.subs, code)}
 	if q.pin != nil {
 		answer.Version = q.pin.Version
@@ -190,7 +191,7 @@
 			switch sub.state {
 			case covered:
 				one.Covered = append(one.Covered, sub.shard.ID)
-			case missing:
+			case missing, parked:
 				one.Missing = append(one.Missing, Missing{Shard: sub.shard.ID, Code: sub.code})
 			default:
 				one.Missing = append(one.Missing, Missing{Shard: sub.shard.ID, Code: ended})
--- a/internal/dcquery/pick.go
+++ b/internal/dcquery/pick.go
@@ -15,8 +15,8 @@
 
 // pick chooses the replica for the next transmission of a shard: one that was
 // not tried, in a failure domain without a transmission of this shard if there
-// is one, warm rather than cold. Among equals it takes the less loaded of two
-// random ones. Extra transmissions never go to a server that sheds load.
+// is one, warm rather than cold. Among equals it takes the less loaded of two.
+// Extra transmissions never go to a server that sheds load.
 func (q *Query) pick(sub *subquery, why cause, now time.Time) (replica int, ok bool) {
 	var best [maxReplicas]uint8
 	count, lowest := 0, 0
@@ -75,13 +75,18 @@
 	return false
 }
 
-// lessLoaded takes the less loaded of two random replicas (power of two
-// choices).
+// lessLoaded takes the less loaded of two replicas (power of two choices), one
+// in turn and one at random. The turn spreads the shards of one query evenly
+// over the servers of a service, whose load only changes once it is sent.
 func (q *Query) lessLoaded(sub *subquery, replicas []uint8) int {
 	if len(replicas) == 1 {
 		return int(replicas[0])
 	}
-	a := q.options.Rand.IntN(len(replicas))
+	if q.turn == 0 {
+		q.turn = uint(q.options.Rand.Uint32())
+	}
+	q.turn++
+	a := int(q.turn % uint(len(replicas)))
 	b := q.options.Rand.IntN(len(replicas) - 1)
 	if b >= a {
 		b++
--- a/internal/dcquery/query.go
+++ b/internal/dcquery/query.go
@@ -60,6 +60,9 @@
 	PinNewer func(than *dcshardmap.Pin) *dcshardmap.Pin
 	// RestartTime is the time left that a restart needs.
 	RestartTime time.Duration
+	// MapWait is how long a shard that is gone everywhere waits for a newer pin;
+	// 0 gives it up at once.
+	MapWait time.Duration
 	// Canary sends one sub-query first and the others after it succeeded.
 	Canary bool
 	// RetryCanary tells whether a canary that crashed the given server may run
@@ -129,6 +132,9 @@
 	covered int
 	bytes   int
 
+	// turn rotates the replicas of first choice, from a random start.
+	turn   uint
+	wait   mapWait
 	canary canary
 	// ran and unknown say what the transmissions that ended without a merged
 	// answer prove.
@@ -183,6 +189,7 @@
 	if q.expire(now) {
 		return q.actions
 	}
+	q.remap(now)
 	for len(q.timed) > 0 && !now.Before(q.timed[0].hedgeAt) {
 		sub := q.timed.popFirst()
 		if now.Before(sub.due) {
@@ -244,6 +251,9 @@
 	if len(q.timed) > 0 && q.timed[0].hedgeAt.Before(next) {
 		next = q.timed[0].hedgeAt
 	}
+	if !q.wait.next.IsZero() && q.wait.next.Before(next) {
+		next = q.wait.next
+	}
 	if q.armed.IsZero() || next.Before(q.armed) {
 		q.armed = next
 		q.emit(Action{Kind: Wake, Time: next})
--- a/internal/dcquery/response.go
+++ b/internal/dcquery/response.go
@@ -172,34 +172,6 @@
 	return code == dcreason.VersionGone || code == dcreason.ShardGone
 }
 
-// exhausted handles a shard without a further replica. A shard that is gone
-// may exist on a newer pin.
-func (q *Query) exhausted(sub *subquery, code dcreason.Code, now time.Time) {
-	if gone(code) && q.restart(now) {
-		return
-	}
-	q.lose(sub, code, now)
-}
-
-// restart runs the whole query again on a newer pin, once.
-func (q *Query) restart(now time.Time) bool {
-	if q.stats.Restarts > 0 || q.options.PinNewer == nil {
-		return false
-	}
-	if q.options.Deadline.Sub(now) < q.options.RestartTime {
-		return false
-	}
-	pin := q.options.PinNewer(q.pin)
-	if pin == nil || pin.Total == 0 {
-		return false
-	}
-	q.stats.Restarts++
-	q.cancelAll()
-	q.load(pin)
-	q.scatter(now)
-	return true
-}
-
 func (q *Query) cancelAll() {
 	for i := range q.sent {
 		if q.sent[i].live {
--- a/internal/dcquery/subquery.go
+++ b/internal/dcquery/subquery.go
@@ -28,6 +28,8 @@
 	running
 	covered
 	missing
+	// parked shards wait for a newer map; they are open.
+	parked
 )
 
 // subquery is one shard of the pinned map.
@@ -95,6 +97,7 @@
 		}
 	}
 	q.open, q.covered, q.missing, q.bytes = len(q.subs), 0, 0, 0
+	q.wait = mapWait{}
 }
 
 // scatter sends the first sub-query of every shard, or of one shard only
