Test the membership and the leaving servers

Causes found by the test: hosts learned from the store were spread as changes, so that real changes waited behind 1,299 entries; they are no longer spread. Suspicions go without addresses, which doubles how many fit.

--- a/internal/dcmembership/evidence.go
+++ b/internal/dcmembership/evidence.go
@@ -46,7 +46,11 @@
 	if host.ID == "" || host.ID == m.self.ID || host.PeerAddress == "" {
 		return
 	}
+	_, known := m.entries[host.ID]
 	e := m.current(host, now)
+	if e != nil && !known {
+		m.spread(e)
+	}
 	// A lower number is a delayed message; an end is final for an incarnation.
 	if e == nil || host.Heartbeat < e.host.Heartbeat || e.stopped {
 		return
@@ -61,17 +65,21 @@
 
 func (m *Members) hearsay(member *peerv1.Member, now time.Time) {
 	host := fromWire(member)
-	if host.ID == "" || host.PeerAddress == "" {
+	if host.ID == "" {
 		return
 	}
 	state := State(member.GetState())
-	if _, known := m.entries[host.ID]; !known && (state == Gone || state == stopped) {
+	_, known := m.entries[host.ID]
+	if !known && (state == Gone || state == stopped) {
 		return
 	}
 	e := m.current(host, now)
 	if e == nil {
 		return
 	}
+	if !known {
+		m.spread(e)
+	}
 	m.updateSeat(e, host.Seat, host.SeatTaken)
 	if e.stopped || host.Heartbeat < e.host.Heartbeat {
 		return
@@ -127,11 +135,15 @@
 func (m *Members) current(host Host, now time.Time) *entry {
 	e, ok := m.entries[host.ID]
 	switch {
+	case !ok && host.PeerAddress == "":
+		return nil
 	case !ok:
 		host.State = Alive
 		return m.add(host, now)
 	case host.Incarnation < e.host.Incarnation:
 		return nil
+	case host.Incarnation > e.host.Incarnation && host.PeerAddress == "":
+		return nil
 	case host.Incarnation > e.host.Incarnation:
 		m.replace(e, host, now)
 	}
@@ -155,6 +167,11 @@
 func (m *Members) accept(e *entry, host Host, state State, now time.Time) {
 	announced := e.host.Heartbeat != host.Heartbeat
 	host.State = e.host.State
+	if host.PeerAddress == "" {
+		host.Domain = e.host.Domain
+		host.CallerAddress = e.host.CallerAddress
+		host.PeerAddress = e.host.PeerAddress
+	}
 	e.host = host
 	e.awaited = false
 	e.misses = 0
--- a/internal/dcmembership/exchange.go
+++ b/internal/dcmembership/exchange.go
@@ -237,5 +237,10 @@
 	if ended {
 		member.State = string(stopped)
 	}
+	if host.ID != m.self.ID && (host.State == Suspect || host.State == Gone) {
+		// Nobody contacts the host because of this message, so that it does not
+		// carry addresses. This doubles how many fit when a domain fails.
+		member.FailureDomain, member.CallerAddress, member.PeerAddress = "", "", ""
+	}
 	return member
 }
--- a/internal/dcmembership/members.go
+++ b/internal/dcmembership/members.go
@@ -231,11 +231,10 @@
 
 // add inserts an unknown host.
 func (m *Members) add(host Host, now time.Time) *entry {
-	e := &entry{host: host, limit: m.settings.MissedLimit, changed: now, copies: m.copies()}
+	e := &entry{host: host, limit: m.settings.MissedLimit, changed: now}
 	m.entries[host.ID] = e
 	at, _ := slices.BinarySearch(m.order, host.ID)
 	m.order = slices.Insert(m.order, at, host.ID)
-	m.spreading = append(m.spreading, host.ID)
 	m.version++
 	m.changes = append(m.changes, Change{Host: host})
 	return e
--- /dev/null
+++ b/internal/dcmembership/members_test.go
@@ -0,0 +1,328 @@
+package dcmembership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	ledgerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/ledger/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+)
+
+const testSeed = 7
+
+// cluster runs views that exchange heartbeats once a second.
+type cluster struct {
+	now     time.Time
+	members []*Members
+	down    map[int]bool
+	cut     map[[2]int]bool
+	// bytes and messages count what was sent.
+	bytes, messages, largest int
+}
+
+func testHost(n int, incarnation int64) Host {
+	return Host{
+		ID:            dcid.HostID(fmt.Sprintf("host-%04d", n)),
+		Incarnation:   1_700_000_000_000_000_000 + incarnation,
+		Domain:        dcid.FailureDomain(fmt.Sprintf("domain-%d", n%12)),
+		CallerAddress: fmt.Sprintf("10.0.%d.%d:8080", n/250, n%250),
+		PeerAddress:   fmt.Sprintf("10.0.%d.%d:8081", n/250, n%250),
+	}
+}
+
+func record(host Host) *ledgerv1.HostRecord {
+	return &ledgerv1.HostRecord{
+		HostId:        string(host.ID),
+		Incarnation:   host.Incarnation,
+		FailureDomain: string(host.Domain),
+		CallerAddress: host.CallerAddress,
+		PeerAddress:   host.PeerAddress,
+	}
+}
+
+// newCluster starts hosts that read the host records once.
+func newCluster(size int) *cluster {
+	c := &cluster{now: time.Unix(1_700_000_000, 0), down: map[int]bool{}, cut: map[[2]int]bool{}}
+	var records []*ledgerv1.HostRecord
+	for n := range size {
+		host := testHost(n, 0)
+		records = append(records, record(host))
+		c.members = append(c.members, New(host, Settings{}, rand.New(rand.NewPCG(testSeed, uint64(n)))))
+	}
+	for _, m := range c.members {
+		m.ObserveStore(records, c.now)
+	}
+	return c
+}
+
+func (c *cluster) index(id dcid.HostID) int {
+	var n int
+	_, _ = fmt.Sscanf(string(id), "host-%d", &n)
+	return n
+}
+
+func (c *cluster) send(from, to int) {
+	sender, members := c.members[from].Message(c.members[to].self.ID)
+	size := proto.Size(sender) + fieldOverhead
+	for _, member := range members {
+		size += proto.Size(member) + fieldOverhead
+	}
+	c.bytes += size
+	c.messages++
+	c.largest = max(c.largest, size)
+	if !c.down[to] && !c.cut[[2]int{from, to}] {
+		c.members[to].Receive(sender, members, c.now)
+	}
+}
+
+func (c *cluster) step() {
+	c.now = c.now.Add(time.Second)
+	for from, m := range c.members {
+		if c.down[from] {
+			continue
+		}
+		targets, _ := m.Begin(c.now)
+		for _, target := range targets {
+			to := c.index(target.ID)
+			c.send(from, to)
+			if !c.down[to] && !c.cut[[2]int{from, to}] {
+				c.send(to, from)
+			}
+		}
+	}
+}
+
+func (c *cluster) steps(count int) {
+	for range count {
+		c.step()
+	}
+}
+
+// count returns how many running hosts see a host in a state.
+func (c *cluster) count(subject int, state State) int {
+	seen := 0
+	for n, m := range c.members {
+		host, _ := m.Host(c.members[subject].self.ID)
+		if n != subject && !c.down[n] && host.State == state {
+			seen++
+		}
+	}
+	return seen
+}
+
+func (c *cluster) want(t *testing.T, subject int, state State, hosts int) {
+	t.Helper()
+	if got := c.count(subject, state); got != hosts {
+		t.Fatalf("seed %d: %d hosts see host %d as %s, want %d", testSeed, got, subject, state, hosts)
+	}
+}
+
+// Guards against a dead host that stays in use, and against a host that is
+// declared gone by silence alone.
+func TestKilledHostIsSuspectThenGone(t *testing.T) {
+	c := newCluster(4)
+	c.steps(5)
+	c.want(t, 3, Alive, 3)
+	c.down[3] = true
+	c.steps(2)
+	c.want(t, 3, Alive, 3)
+	c.steps(2)
+	c.want(t, 3, Suspect, 3)
+	c.steps(100)
+	c.want(t, 3, Suspect, 3)
+	c.members[0].ObserveStore([]*ledgerv1.HostRecord{record(testHost(1, 0)), record(testHost(2, 0))}, c.now)
+	c.steps(2)
+	c.want(t, 3, Gone, 3)
+	if c.members[0].ConfirmedGone(testHost(3, 0).ID, testHost(3, 0).Incarnation) {
+		t.Fatal("silence counts as proof that the process ended")
+	}
+}
+
+// Guards against a store outage, an empty store or a wrong host list that
+// removes hosts whose heartbeats are heard.
+func TestHeartbeatOutranksStoreAndList(t *testing.T) {
+	c := newCluster(4)
+	for range 20 {
+		c.step()
+		c.members[0].ObserveStore(nil, c.now)
+		c.members[0].ObserveList(nil, c.now)
+		c.members[1].ObserveList([]ListedHost{{Address: testHost(3, 0).PeerAddress, Leaving: true}}, c.now)
+	}
+	c.want(t, 3, Alive, 3)
+	c.down[3] = true
+	c.steps(4)
+	c.members[0].ObserveList(nil, c.now)
+	c.steps(2)
+	c.want(t, 3, Gone, 3)
+	c.down[3] = false
+	c.steps(2)
+	c.want(t, 3, Alive, 3)
+}
+
+// Guards against an old entry that hides a restarted host, or comes back.
+func TestRestartReplacesOldEntry(t *testing.T) {
+	c := newCluster(4)
+	c.steps(3)
+	old := c.members[3].self
+	c.members[3] = New(testHost(3, 1), Settings{}, rand.New(rand.NewPCG(testSeed, 99)))
+	c.members[3].ObserveStore([]*ledgerv1.HostRecord{record(testHost(0, 0)), record(testHost(1, 0))}, c.now)
+	c.steps(3)
+	c.members[0].Receive(c.members[0].wire(old, false), nil, c.now)
+	host, _ := c.members[0].Host(old.ID)
+	if host.Incarnation != old.Incarnation+1 || host.State != Alive {
+		t.Fatalf("got %+v, want the new incarnation alive", host)
+	}
+	if !c.members[2].ConfirmedGone(old.ID, old.Incarnation) {
+		t.Fatal("a newer incarnation is no proof that the old one ended")
+	}
+}
+
+// Guards against a paused process that accuses everybody when it resumes, and
+// that stays suspect afterwards.
+func TestPausedHostAccusesNobody(t *testing.T) {
+	c := newCluster(4)
+	c.steps(3)
+	c.down[0] = true
+	c.steps(30)
+	c.want(t, 0, Suspect, 3)
+	c.down[0] = false
+	c.step()
+	for _, host := range c.members[0].Hosts() {
+		if host.State != Alive {
+			t.Fatalf("resumed host sees %s as %s", host.ID, host.State)
+		}
+	}
+	c.steps(2)
+	c.want(t, 0, Alive, 3)
+}
+
+// Guards against one broken link that removes a host for everybody.
+func TestHostThatOnePeerCannotReach(t *testing.T) {
+	c := newCluster(4)
+	c.steps(3)
+	c.cut[[2]int{0, 3}], c.cut[[2]int{3, 0}] = true, true
+	unusable := 0
+	for range 120 {
+		c.step()
+		c.want(t, 3, Gone, 0)
+		if host, _ := c.members[1].Host(c.members[3].self.ID); host.State != Alive {
+			t.Fatalf("host 1 hears host 3 directly but sees it as %s", host.State)
+		}
+		if host, _ := c.members[0].Host(c.members[3].self.ID); host.State != Alive {
+			unusable++
+		}
+	}
+	if unusable > 20 {
+		t.Fatalf("host 0 held host 3 suspect in %d of 120 intervals although others refuted", unusable)
+	}
+}
+
+// Guards against an announced end that is taken back by a delayed heartbeat.
+func TestStoppedHostStaysGone(t *testing.T) {
+	c := newCluster(4)
+	c.steps(3)
+	delayed := c.members[3].wire(c.members[3].self, false)
+	c.members[3].SetSelf(Gone, 0, 0, time.Time{})
+	c.step()
+	c.down[3] = true
+	c.members[1].Receive(delayed, nil, c.now)
+	c.steps(3)
+	c.want(t, 3, Gone, 3)
+	if !c.members[1].ConfirmedGone(testHost(3, 0).ID, testHost(3, 0).Incarnation) {
+		t.Fatal("an announced end is no proof")
+	}
+}
+
+// Guards against a seat that only its new holder knows of: the former holder
+// is cut off from it, and from the store.
+func TestSeatReachesFormerHolder(t *testing.T) {
+	c := newCluster(4)
+	c.steps(3)
+	c.cut[[2]int{0, 3}], c.cut[[2]int{3, 0}] = true, true
+	taken := c.now
+	c.members[1].ObserveSeat(testHost(3, 0).ID, 2, taken)
+	c.steps(4)
+	if host, _ := c.members[0].Host(testHost(3, 0).ID); host.Seat != 2 || !host.SeatTaken.Equal(taken) {
+		t.Fatalf("host 0 sees seat %d taken %s", host.Seat, host.SeatTaken)
+	}
+}
+
+// Guards against cost that grows with the fleet and against failures that do
+// not spread there.
+func TestLargeFleet(t *testing.T) {
+	const size, interval = 1300, 1
+	c := newCluster(size)
+	c.steps(3 * interval)
+	for n := range size {
+		c.down[n] = n%12 == 5
+	}
+	c.bytes, c.messages = 0, 0
+	steps := 0
+	for c.count(5, Alive)+c.count(size-11, Alive) > 0 {
+		if steps++; steps > 60 {
+			t.Fatalf("seed %d: %d hosts still see a dead host as alive after 60 intervals", testSeed, c.count(5, Alive))
+		}
+		c.step()
+	}
+	wrong := 0
+	for n := range size {
+		if !c.down[n] {
+			wrong += c.count(n, Suspect)
+		}
+	}
+	if wrong > 0 {
+		t.Fatalf("seed %d: %d accusations of running hosts", testSeed, wrong)
+	}
+	perNode := c.bytes / size / steps
+	t.Logf("two hosts of a dead failure domain known to all after %d intervals, %d B/s sent per node", steps, perNode)
+	if c.largest > defaultMaxMessageBytes || perNode > 3*2*defaultMaxMessageBytes*7/4 {
+		t.Fatalf("messages of up to %d bytes, %d B per node and interval", c.largest, perNode)
+	}
+}
+
+// Guards against owners that move when another host leaves.
+func TestOwnersMoveMinimally(t *testing.T) {
+	c := newCluster(40)
+	hosts := c.members[0].Hosts()
+	without := append([]Host{}, hosts...)
+	without[17].State = Leaving
+	moved := 0
+	for n := range 4000 {
+		key := fmt.Sprintf("partition-%d", n)
+		before, after := Owners(key, hosts, 1)[0], Owners(key, without, 1)[0]
+		if before != after && before != hosts[17].ID {
+			t.Fatalf("%s moved from %s to %s", key, before, after)
+		}
+		if before != after {
+			moved++
+		}
+	}
+	if moved < 50 || moved > 200 {
+		t.Fatalf("%d of 4000 keys moved, want about 100", moved)
+	}
+}
+
+// BenchmarkInterval gives the cost of one heartbeat interval of one host: its
+// own exchanges and as many from others.
+func BenchmarkInterval(b *testing.B) {
+	for _, size := range []int{4, 64, 256, 1300} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			c := newCluster(size)
+			c.steps(40)
+			c.bytes, c.messages = 0, 0
+			b.ReportAllocs()
+			for b.Loop() {
+				c.step()
+			}
+			intervals := float64(b.N * size)
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/intervals, "ns/host-interval")
+			b.ReportMetric(float64(c.bytes)/intervals, "sent-B/host-interval")
+			b.ReportMetric(float64(c.bytes)/float64(c.messages), "B/message")
+		})
+	}
+}
--- /dev/null
+++ b/internal/dcmembership/servers_test.go
@@ -0,0 +1,159 @@
+package dcmembership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+)
+
+const testServer = dcid.ServerAddr("10.1.0.1:9000")
+
+// Guards against new work for a leaving server, and against one failed request
+// that removes a server everywhere.
+func TestSignals(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	cases := map[string]struct {
+		run         func(s *Servers)
+		here, there bool
+	}{
+		"draining":                    {run: func(s *Servers) { s.Observe(testServer, Draining, at(0)) }},
+		"closed, not confirmed":       {run: func(s *Servers) { s.Observe(testServer, Closed, at(0)) }, there: true},
+		"closed, confirmed":           {run: func(s *Servers) { s.Observe(testServer, Closed, at(0)); s.Probed(testServer, false, at(1), at(1)) }},
+		"closed, probe serving":       {run: func(s *Servers) { s.Observe(testServer, Closed, at(0)); s.Probed(testServer, true, at(1), at(1)) }, here: true, there: true},
+		"draining, probe serving":     {run: func(s *Servers) { s.Observe(testServer, Draining, at(0)); s.Probed(testServer, true, at(1), at(1)) }, here: true, there: true},
+		"draining, probe sent before": {run: func(s *Servers) { s.Observe(testServer, Draining, at(2)); s.Probed(testServer, true, at(1), at(3)) }},
+		"operator, probe serving":     {run: func(s *Servers) { s.Observe(testServer, Operator, at(0)); s.Probed(testServer, true, at(1), at(1)) }},
+		"operator withdrawn":          {run: func(s *Servers) { s.Observe(testServer, Operator, at(0)); s.Withdraw(testServer, Operator, at(1)) }, here: true, there: true},
+		"list repeats after probe": {run: func(s *Servers) {
+			s.Observe(testServer, HostList, at(0))
+			s.Probed(testServer, true, at(1), at(1))
+			s.Observe(testServer, HostList, at(2))
+		}, here: true, there: true},
+		"list says leaving again": {run: func(s *Servers) {
+			s.Observe(testServer, HostList, at(0))
+			s.Withdraw(testServer, HostList, at(1))
+			s.Observe(testServer, HostList, at(2))
+		}},
+		"one signal cleared, one not": {run: func(s *Servers) {
+			s.Observe(testServer, Draining, at(0))
+			s.Observe(testServer, Operator, at(0))
+			s.Probed(testServer, true, at(1), at(1))
+		}},
+		"draining again after false alarm": {run: func(s *Servers) {
+			s.Observe(testServer, Draining, at(0))
+			s.Probed(testServer, true, at(1), at(1))
+			s.Observe(testServer, Draining, at(2))
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			here, there := &Servers{}, &Servers{}
+			c.run(here)
+			there.Merge(here.Entries(1024, at(5)), at(5))
+			if here.Usable(testServer) != c.here || there.Usable(testServer) != c.there {
+				t.Fatalf("usable here %t, there %t; want %t, %t", here.Usable(testServer), there.Usable(testServer), c.here, c.there)
+			}
+		})
+	}
+}
+
+// Guards against views that depend on the order of messages.
+func TestMergeIsOrderless(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	a, b := &Servers{}, &Servers{}
+	a.Observe(testServer, Draining, start)
+	old := a.Entries(1024, start)
+	b.Merge(old, start)
+	b.Probed(testServer, true, start.Add(time.Second), start.Add(time.Second))
+	cleared := b.Entries(1024, start.Add(time.Second))
+	for range 2 {
+		a.Merge(cleared, start.Add(2*time.Second))
+		b.Merge(old, start.Add(2*time.Second))
+	}
+	if !a.Usable(testServer) || !b.Usable(testServer) {
+		t.Fatal("an old signal outranks the later probe")
+	}
+}
+
+// Guards against one host that cannot reach a server and takes it away from
+// all others again and again.
+func TestUnreachableFromOneHostOnly(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	a, b := &Servers{}, &Servers{}
+	removed := 0
+	for range 50 {
+		now = now.Add(time.Second)
+		a.Observe(testServer, Closed, now)
+		now = now.Add(10 * time.Millisecond)
+		a.Probed(testServer, false, now, now)
+		b.Merge(a.Entries(1024, now), now)
+		if !b.Usable(testServer) {
+			removed++
+		}
+		now = now.Add(10 * time.Millisecond)
+		b.Probed(testServer, true, now, now)
+		a.Merge(b.Entries(1024, now), now)
+	}
+	if removed != 1 {
+		t.Fatalf("the server was removed elsewhere %d times in 50 s, want once", removed)
+	}
+}
+
+// Guards against a returning server that gets its full load at once.
+func TestRampUp(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := &Servers{}
+	s.Observe(testServer, Draining, now)
+	var got []int
+	record := func() { got = append(got, s.InFlight(testServer, 5, now)) }
+	record()
+	now = now.Add(time.Second)
+	s.Probed(testServer, true, now, now)
+	record()
+	now = now.Add(time.Second)
+	record()
+	s.Failed(testServer, now)
+	record()
+	for range 3 {
+		now = now.Add(time.Second)
+		record()
+	}
+	s.Cold(testServer, now)
+	record()
+	if want := "[0 1 2 1 2 4 5 1]"; fmt.Sprint(got) != want {
+		t.Fatalf("in flight %v, want %s", got, want)
+	}
+}
+
+// Guards against messages and tables without a bound, and entries that are
+// never sent because newer ones take the room.
+func TestEntriesAreBounded(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := &Servers{MaxServers: 100}
+	for n := range 200 {
+		s.Observe(dcid.ServerAddr(fmt.Sprintf("10.1.1.%d:9000", n)), Draining, now)
+	}
+	sent := map[string]bool{}
+	for range 60 {
+		size := 0
+		for _, entry := range s.Entries(300, now) {
+			size += proto.Size(entry) + fieldOverhead
+			sent[entry.GetServer()] = true
+		}
+		if size > 300 {
+			t.Fatalf("%d bytes, limit 300", size)
+		}
+	}
+	if len(sent) != 100 {
+		t.Fatalf("%d of 100 entries were sent", len(sent))
+	}
+	s.Merge(s.Entries(300, now), now)
+	if got := len(s.collect(now.Add(activeRetention))); got != 0 {
+		t.Fatalf("%d entries stay for ever", got)
+	}
+}
