Add address answers and the stop sequence

Up to 8 hosts all are answered in weighted random order; beyond that a group gets its share of the hosts by its share of the servers, 41 of 1,300 for 310 of 10,000 servers, with a quota for each failure domain. Hosts that are not alive are answered only when none is alive.

A host refuses new requests only after the address lifetime and an allowance of 2 s. The gate alone cannot keep two hosts from leaving within one heartbeat of each other, so a leaving host withdraws when another one with a lower id is leaving too.

--- /dev/null
+++ b/internal/dcaddress/address_test.go
@@ -0,0 +1,134 @@
+package dcaddress
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcmembership"
+)
+
+const testSeed = 11
+
+func fleet(states ...dcmembership.State) []dcmembership.Host {
+	var hosts []dcmembership.Host
+	for n, state := range states {
+		hosts = append(hosts, dcmembership.Host{
+			ID:            dcid.HostID(fmt.Sprintf("host-%04d", n)),
+			Domain:        dcid.FailureDomain(fmt.Sprintf("domain-%d", n%12)),
+			CallerAddress: fmt.Sprintf("a%d", n),
+			State:         state,
+		})
+	}
+	return hosts
+}
+
+func answerer() *Answerer {
+	return &Answerer{TotalServers: 10000, Random: rand.New(rand.NewPCG(testSeed, 0))}
+}
+
+// Guards against callers sent to hosts that leave or fail, and against an empty
+// answer while any host is known.
+func TestAnswerStates(t *testing.T) {
+	const alive, suspect, leaving, gone = dcmembership.Alive, dcmembership.Suspect, dcmembership.Leaving, dcmembership.Gone
+	cases := map[string]struct {
+		states []dcmembership.State
+		want   []string
+	}{
+		"alive only":        {states: []dcmembership.State{alive, suspect, alive, leaving, gone}, want: []string{"a0", "a2"}},
+		"suspect as a last": {states: []dcmembership.State{suspect, leaving, suspect, gone}, want: []string{"a0", "a2"}},
+		"leaving":           {states: []dcmembership.State{gone, leaving}, want: []string{"a1"}},
+		"gone":              {states: []dcmembership.State{gone}, want: []string{"a0"}},
+		"none known":        {},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := answerer().Answer(Group{Name: "kitchen-search", Servers: 30}, fleet(c.states...)).Addresses
+			slices.Sort(got)
+			if !slices.Equal(got, c.want) {
+				t.Fatalf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against callers that all start with the same host, and weights that
+// have no effect.
+func TestCallersSpread(t *testing.T) {
+	a := answerer()
+	a.Weight = func(id dcid.HostID) float64 {
+		if id == "host-0003" {
+			return 0.25
+		}
+		return 1
+	}
+	hosts := fleet(dcmembership.Alive, dcmembership.Alive, dcmembership.Alive, dcmembership.Alive)
+	first := map[string]int{}
+	for range 13000 {
+		answer := a.Answer(Group{Name: "kitchen-search"}, hosts)
+		if len(answer.Addresses) != 4 || answer.Lifetime != defaultLifetime {
+			t.Fatalf("answer %+v", answer)
+		}
+		first[answer.Addresses[0]]++
+	}
+	for n, want := range []int{4000, 4000, 4000, 1000} {
+		if got := first[fmt.Sprintf("a%d", n)]; got < want*9/10 || got > want*11/10 {
+			t.Fatalf("seed %d: host %d is first %d times, want about %d", testSeed, n, got, want)
+		}
+	}
+}
+
+// Guards against groups that use too many hosts at the target scale, that lose
+// all hosts with one failure domain, or that move when an unrelated host leaves.
+func TestSteering(t *testing.T) {
+	states := make([]dcmembership.State, 1300)
+	for n := range states {
+		states[n] = dcmembership.Alive
+	}
+	hosts := fleet(states...)
+	a := answerer()
+	load := map[dcid.HostID]int{}
+	for n := range 32 {
+		group := Group{Name: dcid.GroupName(fmt.Sprintf("group-%d", n)), Servers: 310}
+		chosen := a.Steer(group, hosts)
+		if len(chosen) != 41 {
+			t.Fatalf("%d hosts for a group, want 41", len(chosen))
+		}
+		domains := map[dcid.FailureDomain]int{}
+		for _, host := range chosen {
+			domains[host.Domain]++
+			load[host.ID]++
+		}
+		for domain, count := range domains {
+			if count > 4 {
+				t.Fatalf("%d of 41 hosts in %s", count, domain)
+			}
+		}
+		less := slices.DeleteFunc(slices.Clone(hosts), func(host dcmembership.Host) bool { return host.ID == chosen[0].ID })
+		kept := 0
+		for _, host := range a.Steer(group, less) {
+			if slices.Contains(chosen, host) {
+				kept++
+			}
+		}
+		if kept < 39 {
+			t.Fatalf("only %d of 40 hosts stay when one leaves", kept)
+		}
+	}
+	if got := len(a.Steer(Group{Name: "small", Servers: 3}, hosts)); got != 8 {
+		t.Fatalf("%d hosts for a small group, want 8", got)
+	}
+}
+
+func BenchmarkAnswer(b *testing.B) {
+	states := make([]dcmembership.State, 1300)
+	for n := range states {
+		states[n] = dcmembership.Alive
+	}
+	hosts, a := fleet(states...), answerer()
+	for b.Loop() {
+		a.Answer(Group{Name: "group", Servers: 310}, hosts)
+	}
+}
--- /dev/null
+++ b/internal/dcdrain/drain_test.go
@@ -0,0 +1,131 @@
+package dcdrain
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcmembership"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+)
+
+// Guards against a stop that refuses callers who still hold an address answer,
+// that releases before requests end, or that never ends.
+func TestSequence(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	type step struct {
+		after  time.Duration
+		work   Work
+		phase  Phase
+		query  dcreason.Code
+		lookup dcreason.Code
+	}
+	const ok, stopping = dcreason.OK, dcreason.HostStopping
+	busy, held := Work{InFlight: 1, Held: 2}, Work{Held: 2}
+	cases := map[string]struct {
+		steps  []step
+		forced bool
+	}{
+		"graceful": {steps: []step{
+			{0, held, Leaving, ok, ok},
+			{6900 * time.Millisecond, busy, Leaving, ok, ok},
+			{7 * time.Second, busy, Finishing, stopping, ok},
+			{20 * time.Second, busy, Finishing, stopping, ok},
+			{21 * time.Second, held, Released, stopping, stopping},
+			{22 * time.Second, Work{}, Done, stopping, stopping},
+		}},
+		"idle still waits for address answers": {steps: []step{
+			{6 * time.Second, Work{}, Leaving, ok, ok},
+			{7 * time.Second, Work{}, Done, stopping, stopping},
+		}},
+		"stuck request": {forced: true, steps: []step{
+			{59 * time.Second, busy, Finishing, stopping, ok},
+			{60 * time.Second, busy, Done, stopping, stopping},
+		}},
+		"store down at release": {forced: true, steps: []step{
+			{30 * time.Second, held, Released, stopping, stopping},
+			{60 * time.Second, held, Done, stopping, stopping},
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := &Drain{}
+			if !d.Ready() || d.Step(start, Work{}) != Serving {
+				t.Fatal("not serving before the stop")
+			}
+			d.Stop(start)
+			for _, s := range c.steps {
+				phase := d.Step(start.Add(s.after), s.work)
+				if phase != s.phase || d.Admit(Query) != s.query || d.Admit(Order) != s.query || d.Admit(Lookup) != s.lookup {
+					t.Fatalf("after %s: %s, query %s, lookup %s", s.after, phase, d.Admit(Query), d.Admit(Lookup))
+				}
+				if d.Ready() {
+					t.Fatal("ready while stopping")
+				}
+			}
+			if d.Forced() != c.forced {
+				t.Fatalf("forced %t, want %t", d.Forced(), c.forced)
+			}
+		})
+	}
+}
+
+// Guards against two hosts of a rolling restart that are away at once.
+func TestGate(t *testing.T) {
+	const alive, suspect, leaving, gone = dcmembership.Alive, dcmembership.Suspect, dcmembership.Leaving, dcmembership.Gone
+	cases := map[string]struct {
+		states []dcmembership.State
+		gate   Gate
+		ok     bool
+	}{
+		"all present":            {states: []dcmembership.State{alive, alive, alive, alive}, ok: true},
+		"one leaving":            {states: []dcmembership.State{alive, leaving, alive, alive}},
+		"one suspect":            {states: []dcmembership.State{alive, alive, suspect, alive}},
+		"one missing":            {states: []dcmembership.State{alive, alive, alive}},
+		"one gone":               {states: []dcmembership.State{alive, alive, alive, gone}},
+		"gone and replaced":      {states: []dcmembership.State{alive, alive, alive, gone, alive}, ok: true},
+		"gone, size not known":   {states: []dcmembership.State{alive, alive, gone}, gate: Gate{Expected: -1}},
+		"override":               {states: []dcmembership.State{alive, leaving}, gate: Gate{Override: true}, ok: true},
+		"two away at the target": {states: []dcmembership.State{alive, leaving, alive, alive}, gate: Gate{MaxAway: 2}, ok: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var hosts []dcmembership.Host
+			for n, state := range c.states {
+				hosts = append(hosts, dcmembership.Host{ID: dcid.HostID(rune('a' + n)), State: state})
+			}
+			c.gate.Self = "a"
+			if c.gate.Expected == 0 {
+				c.gate.Expected = 4
+			}
+			if away, ok := c.gate.Check(hosts); ok != c.ok {
+				t.Fatalf("may leave %t, want %t; away %v", ok, c.ok, away)
+			}
+		})
+	}
+}
+
+// Guards against two hosts that pass the gate before they hear of each other:
+// exactly one of them withdraws and serves again.
+func TestGateRace(t *testing.T) {
+	hosts := []dcmembership.Host{
+		{ID: "a", State: dcmembership.Leaving},
+		{ID: "b", State: dcmembership.Leaving},
+		{ID: "c", State: dcmembership.Alive},
+	}
+	first, second := Gate{Self: "a"}.Yield(hosts), Gate{Self: "b"}.Yield(hosts)
+	if first || !second {
+		t.Fatalf("a yields %t, b yields %t; want only b", first, second)
+	}
+	now := time.Unix(1_700_000_000, 0)
+	d := &Drain{}
+	d.Stop(now)
+	if !d.Withdraw() || !d.Ready() {
+		t.Fatal("does not serve again")
+	}
+	d.Stop(now)
+	d.Step(now.Add(time.Minute), Work{InFlight: 1})
+	if d.Withdraw() {
+		t.Fatal("withdraws after it refused requests")
+	}
+}
