Add the quarantine of crashing requests

A suspected digest runs only as a canary, on a server that it has not crashed and that runs no other canary; a crash there quarantines it. Crashes of other than such canaries only raise suspicion, since a query in flight on every server is there for every crash, and suspicions of several hosts do not add up to a quarantine for the same reason.

The bound is 2 and one for each send to a host that a push has not reached, and 2 for each host in any case. Innocents that shared one crash were never refused as quarantined.

--- /dev/null
+++ b/internal/dcquarantine/table_test.go
@@ -0,0 +1,335 @@
+package dcquarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/peer/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+)
+
+var (
+	testRule  = Rule{Canary: true, Duration: 10 * time.Minute}
+	testStart = time.Unix(1_700_000_000, 0)
+)
+
+// push is a message that is delivered after a number of further sends.
+type push struct {
+	peer    int
+	entries []*peerv1.Suspicion
+	delay   int
+}
+
+// tier is 4 hosts with shared servers, one request that crashes servers, and
+// innocent requests that are in flight when it does.
+type tier struct {
+	random    *rand.Rand
+	now       time.Time
+	hosts     []*Table
+	poison    Digest
+	innocents []Digest
+	// shared counts the crashes that each innocent was part of.
+	shared map[Digest]int
+	// delay returns how many sends a push to a peer is late.
+	delay   func() int
+	pushes  []push
+	crashes int
+	// late counts sends to a host that a push had not reached.
+	late int
+	// perHost counts the crashes that each host caused.
+	perHost [4]int
+}
+
+func newTier(seed uint64, delay func(*rand.Rand) int) *tier {
+	t := &tier{random: rand.New(rand.NewPCG(seed, 3)), now: testStart, poison: "poison", shared: map[Digest]int{}}
+	t.delay = func() int { return delay(t.random) }
+	for range 4 {
+		t.hosts = append(t.hosts, &Table{})
+	}
+	for n := range 20 {
+		innocent := Digest(fmt.Sprintf("innocent-%d", n))
+		t.innocents = append(t.innocents, innocent)
+		t.send(innocent, t.random.IntN(4), "")
+	}
+	return t
+}
+
+func (t *tier) publish(from int, entries []*peerv1.Suspicion) {
+	for peer := range t.hosts {
+		if peer != from && len(entries) > 0 {
+			t.pushes = append(t.pushes, push{peer: peer, entries: entries, delay: t.delay()})
+		}
+	}
+	t.deliver(0)
+}
+
+// deliver merges the pushes that are due after a number of sends.
+func (t *tier) deliver(sends int) {
+	var rest []push
+	for _, p := range t.pushes {
+		p.delay -= sends
+		if p.delay > 0 {
+			rest = append(rest, p)
+			continue
+		}
+		t.hosts[p.peer].Merge(p.entries, t.now)
+	}
+	t.pushes = rest
+}
+
+func (t *tier) pick(avoid []dcid.ServerAddr) dcid.ServerAddr {
+	for {
+		server := dcid.ServerAddr(fmt.Sprintf("server-%d", t.random.IntN(6)))
+		if !slices.Contains(avoid, server) {
+			return server
+		}
+	}
+}
+
+// send runs one request on a host and returns the decision. A server that
+// crashes while it runs the request ends it with a lost connection.
+func (t *tier) send(digest Digest, host int, crashing dcid.ServerAddr) Decision {
+	table := t.hosts[host]
+	decision := table.Decide(digest, testRule, t.now)
+	if decision.Action != Run && decision.Action != Canary {
+		return decision
+	}
+	server := t.pick(decision.Avoid)
+	table.Started(digest, server)
+	switch {
+	case digest == t.poison:
+		t.crash(host, server)
+	case server != crashing && decision.Action == Canary:
+		t.publish(host, table.Finish(digest, Good, testRule, t.now))
+	case server != crashing:
+	case decision.Action == Canary:
+		t.shared[digest]++
+		t.publish(host, table.Finish(digest, Crashed, testRule, t.now))
+	default:
+		t.shared[digest]++
+		t.publish(host, table.Crash(digest, server, testRule, t.now))
+	}
+	return decision
+}
+
+// crash ends the poison's canary, with innocents in flight on the same server.
+func (t *tier) crash(host int, server dcid.ServerAddr) {
+	t.crashes++
+	t.perHost[host]++
+	for _, innocent := range t.innocents {
+		if t.random.IntN(2) == 0 {
+			t.send(innocent, t.random.IntN(4), server)
+		}
+	}
+	t.publish(host, t.hosts[host].Finish(t.poison, Crashed, testRule, t.now))
+}
+
+// resend sends the poison again and again to random hosts within the duration.
+func (t *tier) resend() {
+	for range 60 {
+		t.now = t.now.Add(time.Second)
+		host := t.random.IntN(4)
+		if slices.ContainsFunc(t.pushes, func(p push) bool { return p.peer == host && p.entries[0].GetDigest() == string(t.poison) }) {
+			t.late++
+		}
+		t.send(t.poison, host, "")
+		t.deliver(1)
+	}
+}
+
+func onTime(*rand.Rand) int { return 0 }
+
+func never(*rand.Rand) int { return 1000 }
+
+// lateTo delays half of the pushes by up to 5 sends.
+func lateTo(random *rand.Rand) int { return max(0, random.IntN(10)-4) }
+
+// Guards against a request that crashes server after server while its caller
+// sends it again to any host. With pushes in time the bound is 2. Each send to
+// a host that a push has not reached may add one, and no host crashes more than
+// 2 even when no push arrives.
+func TestCrashesAreBounded(t *testing.T) {
+	cases := map[string]struct {
+		delay func(*rand.Rand) int
+		above bool
+	}{
+		"pushed in time":        {delay: onTime},
+		"some pushes late":      {delay: lateTo, above: true},
+		"without the mechanism": {delay: never, above: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			worst := 0
+			for seed := range uint64(500) {
+				tier := newTier(seed, c.delay)
+				tier.resend()
+				if tier.crashes > 2+tier.late || slices.Max(tier.perHost[:]) > 2 {
+					t.Fatalf("seed %d: %d crashes with %d late sends, by host %v", seed, tier.crashes, tier.late, tier.perHost)
+				}
+				worst = max(worst, tier.crashes)
+			}
+			t.Logf("at most %d crashes", worst)
+			if c.above != (worst > 2) {
+				t.Fatalf("at most %d crashes; more than 2 expected: %t", worst, c.above)
+			}
+		})
+	}
+}
+
+// Guards against innocents that stay refused because they shared a server with
+// the crashing request.
+func TestInnocentsAreServedAgain(t *testing.T) {
+	sharers := 0
+	for seed := range uint64(500) {
+		tier := newTier(seed, lateTo)
+		tier.resend()
+		tier.deliver(1000)
+		for _, innocent := range tier.innocents {
+			sharers += min(1, tier.shared[innocent])
+			for host := range tier.hosts {
+				decision := tier.send(innocent, host, "")
+				served := decision.Action == Run || decision.Action == Canary
+				if !served && tier.shared[innocent] < 2 {
+					t.Fatalf("seed %d: innocent that shared %d crash is answered %+v", seed, tier.shared[innocent], decision)
+				}
+			}
+		}
+		tier.now = tier.now.Add(testRule.Duration)
+		for _, innocent := range tier.innocents {
+			if decision := tier.send(innocent, 0, ""); decision.Action == Refuse {
+				t.Fatalf("seed %d: innocent still refused after the duration: %+v", seed, decision)
+			}
+		}
+	}
+	if sharers < 1000 {
+		t.Fatalf("only %d innocents shared a crash", sharers)
+	}
+}
+
+// Guards against a query in flight on every server that is quarantined by the
+// crashes of another request.
+func TestInFlightCrashesDoNotQuarantine(t *testing.T) {
+	table := &Table{}
+	for n := range 5 {
+		table.Crash("innocent", dcid.ServerAddr(fmt.Sprintf("server-%d", n)), testRule, testStart)
+	}
+	decision := table.Decide("innocent", testRule, testStart)
+	if decision.Action != Canary || len(decision.Avoid) != 5 {
+		t.Fatalf("decision %+v, want a canary on another server", decision)
+	}
+	table.Started("innocent", "server-9")
+	if push := table.Finish("innocent", Good, testRule, testStart); len(push) != 1 || push[0].GetState() != "cleared" {
+		t.Fatalf("push %v, want a clearing", push)
+	}
+	if decision := table.Decide("innocent", testRule, testStart); decision.Action != Run {
+		t.Fatalf("decision %+v after a good canary", decision)
+	}
+}
+
+// Guards against two canaries of one digest, joiners that run a crashing
+// request, and quarantines that never end or count one server twice.
+func TestDecisions(t *testing.T) {
+	now, table := testStart, &Table{}
+	want := func(action Action, code dcreason.Code) {
+		t.Helper()
+		if got := table.Decide("d", testRule, now); got.Action != action || got.Code != code {
+			t.Fatalf("decision %+v, want %s %s", got, action, code)
+		}
+	}
+	crash := func(server dcid.ServerAddr) {
+		table.Started("d", server)
+		table.Finish("d", Crashed, testRule, now)
+	}
+	want(Canary, "")
+	want(Join, "")
+	table.Finish("d", Inconclusive, testRule, now)
+	want(Canary, "")
+	crash("s1")
+	want(Canary, "")
+	want(Join, "")
+	crash("s1")
+	want(Canary, "")
+	crash("s2")
+	want(Refuse, dcreason.Quarantined)
+	now = now.Add(testRule.Duration)
+	want(Canary, "")
+	now = now.Add(defaultCanaryTimeout)
+	want(Canary, "")
+	if got := table.Decide("e", Rule{}, now); got.Action != Run {
+		t.Fatalf("decision %+v without the canary rule", got)
+	}
+	if DigestOf("a", "b", []byte("c")) == DigestOf("ab", "", []byte("c")) {
+		t.Fatal("digests do not separate their parts")
+	}
+}
+
+// Guards against entries of peers that undo newer ones.
+func TestMerge(t *testing.T) {
+	entry := func(state string, at int, servers ...string) *peerv1.Suspicion {
+		changed := testStart.Add(time.Duration(at) * time.Second).UnixMilli()
+		return &peerv1.Suspicion{Digest: "d", State: state, Servers: servers, ChangedMs: changed, UntilMs: changed + 600_000}
+	}
+	cases := map[string]struct {
+		first, second *peerv1.Suspicion
+		want          Decision
+	}{
+		"clearing is newer":          {entry("quarantined", 1, "a", "b"), entry("cleared", 2), Decision{Action: Run}},
+		"clearing is older":          {entry("quarantined", 2, "a", "b"), entry("cleared", 1), Decision{Action: Refuse, Code: dcreason.Quarantined}},
+		"suspicion after quarantine": {entry("quarantined", 1, "a", "b"), entry("suspected", 2, "c"), Decision{Action: Refuse, Code: dcreason.Quarantined}},
+		"suspicions unite":           {entry("suspected", 1, "a"), entry("suspected", 2, "b"), Decision{Action: Canary, Avoid: []dcid.ServerAddr{"a", "b"}}},
+		"unknown state":              {entry("suspected", 1, "a"), entry("other", 2), Decision{Action: Canary, Avoid: []dcid.ServerAddr{"a"}}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			for _, order := range [][]*peerv1.Suspicion{{c.first, c.second}, {c.second, c.first}, {c.first, c.second, c.first}} {
+				table, now := &Table{}, testStart.Add(5*time.Second)
+				table.remember("d")
+				table.Merge(order, now)
+				got := table.Decide("d", testRule, now)
+				if got.Action != c.want.Action || got.Code != c.want.Code || !slices.Equal(got.Avoid, c.want.Avoid) {
+					t.Fatalf("decision %+v, want %+v", got, c.want)
+				}
+			}
+		})
+	}
+}
+
+// Guards against tables and messages that grow without a bound, and against a
+// full table that drops a quarantine before a suspicion.
+func TestBounds(t *testing.T) {
+	table := &Table{MaxGood: 10, MaxEntries: 10, MaxCanaries: 10}
+	table.merge("q", &entry{state: quarantined, servers: []string{"a", "b"}, until: testStart.Add(time.Hour), changed: testStart}, testStart)
+	for n := range 100 {
+		digest := Digest(fmt.Sprintf("digest-%d", n))
+		table.remember(digest + "good")
+		table.Crash(digest, "s", testRule, testStart.Add(time.Duration(n)*time.Second))
+		table.startCanary(digest, false, testStart)
+	}
+	if len(table.good) != 10 || table.used.Len() != 10 || len(table.entries) != 10 || len(table.canaries) != 10 {
+		t.Fatalf("%d good, %d entries, %d canaries", len(table.good), len(table.entries), len(table.canaries))
+	}
+	if decision := table.Decide("q", testRule, testStart); decision.Code != dcreason.Quarantined {
+		t.Fatalf("the quarantine was dropped: %+v", decision)
+	}
+	sent := map[string]bool{}
+	for range 10 {
+		size := 0
+		for _, e := range table.Entries(100, testStart) {
+			size += proto.Size(e) + fieldOverhead
+			sent[e.GetDigest()] = true
+		}
+		if size > 100 {
+			t.Fatalf("%d bytes, limit 100", size)
+		}
+	}
+	if len(sent) != 10 {
+		t.Fatalf("%d of 10 entries were sent", len(sent))
+	}
+}
