--- /dev/null
+++ b/internal/dcburn/counters_test.go
@@ -0,0 +1,239 @@
+package dcburn
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/peer/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+)
+
+// start is the begin of an hour.
+var start = time.Unix(1_699_999_200, 0).UTC()
+
+func at(minutes float64) time.Time {
+	return start.Add(time.Duration(minutes * float64(time.Minute)))
+}
+
+func begin(host dcid.HostID, minutes float64) *Counters {
+	return New(host, at(minutes).UnixNano(), at(minutes))
+}
+
+func count(c *Counters, department dcid.Department, requests, good int, minutes float64) {
+	for n := range requests {
+		sample := Sample{Group: "g", Department: department, Outcome: dcreason.Ran, Code: dcreason.OK}
+		if n < good {
+			sample.Good = []string{"latency/100ms"}
+		}
+		c.Count(sample, at(minutes))
+	}
+}
+
+// replicate sends what a replica lacks, as one or more heartbeats do.
+func replicate(from, to *Counters, minutes float64) {
+	from.SetReplicas([]dcid.HostID{"replica"})
+	for {
+		rows := from.Pending("replica", 300, at(minutes))
+		if len(rows) == 0 {
+			return
+		}
+		to.Merge(rows, at(minutes))
+		from.Acknowledge("replica", rows)
+	}
+}
+
+func report(c *Counters, department dcid.Department, from, until float64, hosts ...dcid.HostID) Report {
+	scope := Scope{Department: department, From: at(from), Until: at(until)}
+	for _, host := range hosts {
+		scope.Hosts = append(scope.Hosts, Presence{Host: host})
+	}
+	return c.Report(scope)
+}
+
+func requests(r Report) uint64 {
+	if r.Groups["g"] == nil {
+		return 0
+	}
+	return r.Groups["g"].Requests
+}
+
+// Guards against rows that are summed twice when copies of several ages arrive
+// on several ways.
+func TestCopiesReplaceEachOther(t *testing.T) {
+	a, b := begin("a", 0), begin("b", 0)
+	count(a, "d", 3, 0, 0.1)
+	early := a.Rows(at(0), at(1))
+	count(a, "d", 4, 0, 0.5)
+	late := a.Rows(at(0), at(1))
+	for _, rows := range [][]*peerv1.CounterRow{late, early, late} {
+		b.Merge(rows, at(0.6))
+	}
+	replicate(a, b, 1)
+	replicate(a, b, 2)
+	count(b, "d", 1, 0, 2.5)
+	if got := requests(report(b, "d", 0, 3)); got != 8 {
+		t.Fatalf("%d requests, want 8", got)
+	}
+}
+
+// Guards against reports that hide what a dead, paused or restarted host lost.
+func TestGaps(t *testing.T) {
+	cases := map[string]struct {
+		run  func(a, replica *Counters)
+		want string
+	}{
+		"complete": {func(a, replica *Counters) {
+			count(a, "d", 5, 0, 1.5)
+			replicate(a, replica, 4)
+		}, "[]"},
+		"no requests": {func(a, replica *Counters) { replicate(a, replica, 4) }, "[]"},
+		"died in the third minute": {func(a, replica *Counters) {
+			count(a, "d", 5, 0, 2.3)
+			replicate(a, replica, 2.4)
+		}, "[2-4:2]"},
+		"a row was lost": {func(a, replica *Counters) {
+			count(a, "d", 5, 0, 1.5)
+			count(a, "e", 5, 0, 1.6)
+			a.advance(at(4))
+			for _, row := range a.Rows(at(0), at(4)) {
+				if row.GetDepartment() != "e" {
+					replica.Merge([]*peerv1.CounterRow{row}, at(4))
+				}
+			}
+		}, "[1-2:1]"},
+		"killed and restarted in the second minute": {func(a, replica *Counters) {
+			replicate(a, replica, 1.2)
+			replicate(begin("a", 1.5), replica, 4)
+		}, "[1-2:1]"},
+		"stopped and restarted in the second minute": {func(a, replica *Counters) {
+			count(a, "d", 5, 0, 1.1)
+			a.Close(at(1.2))
+			replicate(a, replica, 1.2)
+			replicate(begin("a", 1.5), replica, 4)
+		}, "[]"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			replica := begin("replica", 0)
+			c.run(begin("a", 0), replica)
+			got := []string{}
+			for _, gap := range report(replica, "d", 0, 4, "a").Gaps {
+				got = append(got, fmt.Sprintf("%v-%v:%d", gap.From.Sub(start).Minutes(), gap.Until.Sub(start).Minutes(), gap.Minutes))
+			}
+			if fmt.Sprint(got) != c.want {
+				t.Fatalf("gaps %v, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a department that sees another one's numbers.
+func TestDepartmentsSeeOnlyTheirRows(t *testing.T) {
+	a := begin("a", 0)
+	count(a, "d", 3, 3, 0.1)
+	count(a, "e", 5, 0, 0.1)
+	for department, want := range map[dcid.Department]uint64{"d": 3, "e": 5, "f": 0, "": 0} {
+		r := report(a, department, 0, 1)
+		if got := requests(r); got != want {
+			t.Fatalf("department %q sees %d requests, want %d", department, got, want)
+		}
+		if r.Groups["g"] != nil && r.Groups["g"].Good["latency/100ms"] != uint64(map[dcid.Department]int{"d": 3}[department]) {
+			t.Fatalf("department %q sees %+v", department, r.Groups["g"])
+		}
+	}
+}
+
+// Guards against tables that grow for ever, and against rows that are summed
+// again when they arrive after their hour was summed.
+func TestRetention(t *testing.T) {
+	a, replica := begin("a", 0), begin("replica", 0)
+	count(a, "d", 10, 0, 0.5)
+	replicate(a, replica, 1)
+	old := a.Rows(at(0), at(1))
+	const day = 24 * 60
+	for minute := 10.0; minute < 2*day; minute += 10 {
+		count(a, "d", 1, 0, minute)
+	}
+	replica.Merge(old, at(2*day))
+	a.Merge(old, at(2*day))
+	for _, c := range []*Counters{a, replica} {
+		if got := requests(report(c, "d", 0, 60)); got < 10 || got > 15 {
+			t.Fatalf("%d requests in the first hour", got)
+		}
+	}
+	if got := requests(report(a, "d", 0, 2*day)); got != 10+2*day/10-1 {
+		t.Fatalf("%d requests in all", got)
+	}
+	if gaps := report(a, "d", 0, 2*day-10, "a").Gaps; len(gaps) != 0 {
+		t.Fatalf("gaps %v", gaps)
+	}
+	count(a, "d", 1, 0, 9*day)
+	if got := len(a.rows) + len(a.minutes) + len(a.hours) + len(a.covered); got > 6*60*2+74*2+10 {
+		t.Fatalf("%d entries after nine days", got)
+	}
+	if gaps := report(replica, "d", 0, 60, "a").Gaps; len(gaps) != 1 || gaps[0].Minutes != 59 {
+		t.Fatalf("gaps %v, want 59 minutes", gaps)
+	}
+}
+
+// Guards against messages above their limit and rows that are sent again and
+// again.
+func TestPendingIsBounded(t *testing.T) {
+	a := begin("a", 0)
+	for n := range 40 {
+		count(a, dcid.Department(fmt.Sprintf("d%d", n)), 1, 1, 0.5)
+	}
+	a.SetReplicas([]dcid.HostID{"b"})
+	sent := 0
+	for range 100 {
+		rows, size := a.Pending("b", 500, at(2)), 0
+		for _, row := range rows {
+			size += proto.Size(row) + fieldOverhead
+		}
+		if size > 500 {
+			t.Fatalf("%d bytes, limit 500", size)
+		}
+		a.Acknowledge("b", rows)
+		sent += len(rows)
+	}
+	if sent != 42 {
+		t.Fatalf("%d rows sent, want 40 and the ends of two minutes", sent)
+	}
+}
+
+// Guards against burn rates that mix windows, and alerts of one window alone.
+func TestBurn(t *testing.T) {
+	a := begin("a", 0)
+	for minute := range 70 {
+		good := 100
+		if minute >= 60 {
+			good = 80
+		}
+		count(a, "d", 100, good, float64(minute)+0.5)
+	}
+	objective := Objective{Group: "g", Department: "d", Key: "latency/100ms", Target: 0.99}
+	burn := a.Burn(objective, at(70))
+	for window, want := range map[time.Duration]float64{Window5m: 20, Window1h: 20.0 / 6, Window6h: 20.0 / 7, Window3d: 20.0 / 7} {
+		if got := burn.Rates[window]; math.Abs(got-want) > 1e-6 {
+			t.Fatalf("rate %f in %s, want %f", got, window, want)
+		}
+	}
+	if burn.Page || !burn.Ticket {
+		t.Fatalf("page %t, ticket %t; want only a ticket", burn.Page, burn.Ticket)
+	}
+	for minute := 70; minute < 120; minute++ {
+		count(a, "d", 100, 80, float64(minute)+0.5)
+	}
+	if !a.Burn(objective, at(120)).Page {
+		t.Fatal("a fast burn for an hour does not page")
+	}
+	if burn := a.Burn(Objective{Group: "g", Department: "e", Target: 0.99}, at(120)); len(burn.Rates) != 0 {
+		t.Fatalf("rates %v without requests", burn.Rates)
+	}
+}
