Add the peer client, handler and in-memory network

The client checks the size of a message itself: with connect-go's send limit the call reported resource_exhausted but still reached the peer with an empty body, and the peer ran an empty claim. The test of message sizes found it.

--- /dev/null
+++ b/internal/dcpeer/peer_test.go
@@ -0,0 +1,241 @@
+package dcpeer
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"io"
+	"log"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/goleak"
+
+	ledgerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/ledger/v1"
+	peerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/peer/v1"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// service answers claims and lookups; other methods are not called.
+type service struct {
+	Service
+	claims atomic.Int32
+	block  chan struct{}
+}
+
+func (s *service) Claim(_ context.Context, request *peerv1.ClaimRequest) (*peerv1.ClaimResponse, error) {
+	s.claims.Add(1)
+	return &peerv1.ClaimResponse{Entry: request.GetEntry()}, nil
+}
+
+func (s *service) Lookup(ctx context.Context, _ *peerv1.LookupRequest) (*peerv1.LookupResponse, error) {
+	if s.block != nil {
+		<-ctx.Done()
+		close(s.block)
+		return nil, ctx.Err()
+	}
+	return nil, connect.NewError(connect.CodeNotFound, errors.New("no such order"))
+}
+
+func claim(key string) *peerv1.ClaimRequest {
+	return &peerv1.ClaimRequest{Partition: 3, Entry: &ledgerv1.Entry{Key: key}}
+}
+
+// listen serves a Service and counts its connections.
+func listen(t *testing.T, s Service, options Options) (address string, connections *atomic.Int32) {
+	t.Helper()
+	connections = &atomic.Int32{}
+	mux := http.NewServeMux()
+	mux.Handle(NewHandler(s, options))
+	server := httptest.NewUnstartedServer(mux)
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	if options.TLS == nil {
+		server.Start()
+	} else {
+		server.TLS = options.TLS
+		server.StartTLS()
+	}
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), connections
+}
+
+func connectTo(t *testing.T, options Options) *Client {
+	t.Helper()
+	client := NewClient(options)
+	t.Cleanup(client.Close)
+	return client
+}
+
+// Guards against a connection for each call, and against error codes that are
+// lost on the way.
+func TestPlainCalls(t *testing.T) {
+	address, connections := listen(t, &service{}, Options{})
+	client := connectTo(t, Options{Timeout: time.Minute})
+	for range 5 {
+		response, err := client.Claim(t.Context(), address, claim("k"))
+		if err != nil || response.GetEntry().GetKey() != "k" {
+			t.Fatalf("response %v, error %v", response, err)
+		}
+	}
+	_, err := client.Lookup(t.Context(), address, &peerv1.LookupRequest{})
+	if connect.CodeOf(err) != connect.CodeNotFound || !strings.Contains(err.Error(), address) {
+		t.Fatalf("error %v, want not found and the address", err)
+	}
+	if got := connections.Load(); got != 1 {
+		t.Fatalf("%d connections for 6 calls", got)
+	}
+}
+
+// Guards against a peer that never answers and holds its caller.
+func TestTimeout(t *testing.T) {
+	s := &service{block: make(chan struct{})}
+	address, _ := listen(t, s, Options{})
+	client := connectTo(t, Options{Timeout: time.Millisecond})
+	_, err := client.Lookup(t.Context(), address, &peerv1.LookupRequest{})
+	if connect.CodeOf(err) != connect.CodeDeadlineExceeded {
+		t.Fatalf("error %v, want deadline exceeded", err)
+	}
+}
+
+// Guards against messages of any size in either direction, and against a refused
+// message that the peer runs as an empty one.
+func TestMessageSize(t *testing.T) {
+	s := &service{}
+	small, large := Options{Timeout: time.Minute, MaxMessageBytes: 1000}, Options{Timeout: time.Minute}
+	cases := map[string]struct{ client, server Options }{
+		"client": {client: small, server: large},
+		"server": {client: large, server: small},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			address, _ := listen(t, s, c.server)
+			_, err := connectTo(t, c.client).Claim(t.Context(), address, claim(strings.Repeat("k", 2000)))
+			if connect.CodeOf(err) != connect.CodeResourceExhausted {
+				t.Fatalf("error %v, want resource exhausted", err)
+			}
+		})
+	}
+	if got := s.claims.Load(); got != 0 {
+		t.Fatalf("%d oversized claims ran", got)
+	}
+}
+
+// identity returns a self-signed certificate for loopback and a pool with it.
+func identity(t *testing.T) (tls.Certificate, *x509.CertPool) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		NotAfter:              time.Now().Add(time.Hour),
+		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(parsed)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
+}
+
+// Guards against peers without a certificate of the organisation.
+func TestMutualTLS(t *testing.T) {
+	certificate, pool := identity(t)
+	other, _ := identity(t)
+	server := &tls.Config{Certificates: []tls.Certificate{certificate}, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool}
+	s := &service{}
+	address, _ := listen(t, s, Options{TLS: server})
+	cases := map[string]struct {
+		config *tls.Config
+		ok     bool
+	}{
+		"own certificate":     {&tls.Config{Certificates: []tls.Certificate{certificate}, RootCAs: pool}, true},
+		"foreign certificate": {&tls.Config{Certificates: []tls.Certificate{other}, RootCAs: pool}, false},
+		"no certificate":      {&tls.Config{RootCAs: pool}, false},
+		"server not trusted":  {&tls.Config{Certificates: []tls.Certificate{certificate}, RootCAs: x509.NewCertPool()}, false},
+		"plain":               {nil, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			client := connectTo(t, Options{TLS: c.config, Timeout: time.Minute})
+			if _, err := client.Claim(t.Context(), address, claim("k")); (err == nil) != c.ok {
+				t.Fatalf("error %v, want success %t", err, c.ok)
+			}
+		})
+	}
+	if got := s.claims.Load(); got != 1 {
+		t.Fatalf("%d claims ran, want 1", got)
+	}
+}
+
+// Guards against a fake that is kinder than a network: lost replies run the
+// call, cuts do not, held calls run only when delivered, messages are copies.
+func TestNetwork(t *testing.T) {
+	network, s := NewNetwork(), &service{}
+	network.Attach("b", s)
+	peer := network.From("a")
+	request := claim("k")
+	want := func(target error, claims int32) {
+		t.Helper()
+		response, err := peer.Claim(t.Context(), "b", request)
+		if !errors.Is(err, target) || s.claims.Load() != claims {
+			t.Fatalf("error %v after %d claims, want %v after %d", err, s.claims.Load(), target, claims)
+		}
+		if err == nil && response.GetEntry() == request.GetEntry() {
+			t.Fatal("the message was not copied")
+		}
+	}
+	want(nil, 1)
+	network.LoseReplies("a", "b", 1)
+	want(ErrReplyLost, 2)
+	want(nil, 3)
+	network.Cut("a", "b", true)
+	want(ErrCut, 3)
+	network.Cut("a", "b", false)
+	network.Hold("a", "b", true)
+	done := make(chan error, 1)
+	go func() {
+		_, err := peer.Claim(t.Context(), "b", request)
+		done <- err
+	}()
+	if err := network.AwaitHeld(t.Context(), 1); err != nil || s.claims.Load() != 3 {
+		t.Fatalf("error %v, %d claims before delivery", err, s.claims.Load())
+	}
+	network.Hold("a", "b", false)
+	if got := network.Deliver(5); got != 1 {
+		t.Fatalf("%d calls delivered", got)
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	network.Attach("b", nil)
+	want(ErrCut, 4)
+}
