--- a/internal/dcmembership/evidence.go
+++ b/internal/dcmembership/evidence.go
@@ -55,6 +55,8 @@
 	if e == nil || host.Heartbeat < e.host.Heartbeat || e.stopped {
 		return
 	}
+	m.updateSeat(e, host.Seat, host.SeatTaken)
+	host.Seat, host.SeatTaken = e.host.Seat, e.host.SeatTaken
 	e.accused = e.host.State == Suspect || e.host.State == Gone
 	e.limit = m.settings.MissedLimit
 	e.heardTick = m.tick
