--- /dev/null
+++ b/internal/dcstandin/export_test.go
@@ -0,0 +1,17 @@
+package dcstandin
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// DrawServiceTimes draws service times of one server.
+func DrawServiceTimes(config UpstreamConfig, draws int) []time.Duration {
+	upstream := NewUpstream(config, clockwork.NewFakeClock(), NewJournal())
+	times := make([]time.Duration, draws)
+	for i := range times {
+		times[i] = upstream.serviceTime()
+	}
+	return times
+}
