Schedule a stand-in's restart before its crash is visible

TestCrash hung in one of 40 runs: the client saw the closed connection and advanced the clock before the restart was scheduled, so it never came. The restart is now scheduled first, and a lock orders going down and coming back, so that an early restart cannot be undone by a late closing of the listener.

--- a/internal/dcstandin/faults.go
+++ b/internal/dcstandin/faults.go
@@ -115,28 +115,35 @@
 	return len(u.faults.CrashBody) > 0 && bytes.Equal(u.faults.CrashBody, body)
 }
 
-// crash takes the server down without an answer to any running request.
+// crash takes the server down without an answer to any running request. The
+// restart is scheduled before clients can see the crash.
 func (u *Upstream) crash() {
-	u.mu.Lock()
-	if u.down {
-		u.mu.Unlock()
+	u.power.Lock()
+	defer u.power.Unlock()
+	if !u.fall() {
 		return
 	}
-	u.down = true
-	u.stats.Crashes++
-	close(u.halted)
-	restart, hook := u.faults.RestartAfter, u.onDown
-	u.mu.Unlock()
-	if hook != nil {
-		hook()
-	}
-	if restart > 0 {
+	u.count(func(s *Stats) { s.Crashes++ })
+	if restart := u.Faults().RestartAfter; restart > 0 {
 		u.clock.AfterFunc(restart, u.Restart)
 	}
+	u.disconnect()
+}
+
+// Kill takes the server down as a crash does, until Restart. It does not count
+// as a crash.
+func (u *Upstream) Kill() {
+	u.power.Lock()
+	defer u.power.Unlock()
+	if u.fall() {
+		u.disconnect()
+	}
 }
 
-// Restart brings a crashed server back, cold. Recorded orders are kept.
+// Restart brings a server that is down back, cold. Recorded orders are kept.
 func (u *Upstream) Restart() {
+	u.power.Lock()
+	defer u.power.Unlock()
 	u.mu.Lock()
 	if !u.down || u.closed {
 		u.mu.Unlock()
@@ -145,27 +152,31 @@
 	u.down = false
 	u.halted = make(chan struct{})
 	u.started = u.clock.Now()
-	hook := u.onUp
+	up := u.onUp
 	u.mu.Unlock()
-	if hook != nil {
-		hook()
+	if up != nil {
+		up()
 	}
 }
 
-// Kill takes the server down as a crash does, until Restart. It does not count
-// as a crash.
-func (u *Upstream) Kill() {
+// fall ends running requests and reports whether the server was up.
+func (u *Upstream) fall() bool {
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	if u.down {
-		u.mu.Unlock()
-		return
+		return false
 	}
 	u.down = true
 	close(u.halted)
-	hook := u.onDown
+	return true
+}
+
+func (u *Upstream) disconnect() {
+	u.mu.Lock()
+	down := u.onDown
 	u.mu.Unlock()
-	if hook != nil {
-		hook()
+	if down != nil {
+		down()
 	}
 }
 
--- a/internal/dcstandin/upstream.go
+++ b/internal/dcstandin/upstream.go
@@ -58,6 +58,9 @@
 	mux     *http.ServeMux
 	slots   chan struct{}
 
+	// power is held while the server goes down or comes back.
+	power sync.Mutex
+
 	mu       sync.Mutex
 	random   *rand.Rand
 	faults   Faults
@@ -126,12 +129,9 @@
 // Close ends running requests and keeps the server down.
 func (u *Upstream) Close() {
 	u.mu.Lock()
-	defer u.mu.Unlock()
 	u.closed = true
-	if !u.down {
-		u.down = true
-		close(u.halted)
-	}
+	u.mu.Unlock()
+	u.fall()
 }
 
 // ServeHTTP answers one request. While the server is down it closes the
