--- a/internal/dcstandin/fleet.go
+++ b/internal/dcstandin/fleet.go
@@ -50,6 +50,9 @@
 	listen(fleet.Platform.StoreServer, profile.GetStoreListen())
 	listen(fleet.Platform.HostServer, profile.GetHostListListen())
 	var failures []error
+	for _, address := range profile.GetTierHosts() {
+		fleet.Platform.Hosts.SetState(address, dchostlist.Live)
+	}
 	for _, group := range profile.GetGroups() {
 		if err := checkGroup(group); err != nil {
 			failures = append(failures, err)
