Draw burn report plots without scripts

Cause: the page of report burn loaded its script from a remote host unless a copy was given, so it was not self-contained by default. Ruled out: embedding echarts.min.js, which is another project's source. Check: TestPage asserts that the page has plots and loads nothing.

--- a/cmd/dandelioncart/main_test.go
+++ b/cmd/dandelioncart/main_test.go
@@ -185,26 +185,25 @@
 	}
 }
 
-// TestPage guards against a page whose labels break out of its scripts.
+// TestPage guards against a page that loads something from the network and
+// against labels that break out of their element.
 func TestPage(t *testing.T) {
 	setEnvironment(t)
-	directory := t.TempDir()
-	file, script := filepath.Join(directory, "burn.html"), filepath.Join(directory, "echarts.min.js")
-	if err := os.WriteFile(script, []byte("var inlined = 1"), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	file := filepath.Join(t.TempDir(), "burn.html")
 	report := `{"result":{"outcome":"ran","reason":"ok"},"rows":[{"service-group":"</script>find","department":"kitchen","objective":"latency","requests":10,"good":9,"burn":{"1h":2.5}}]}`
-	for _, arguments := range [][]string{{"--script", script}, nil} {
-		hosts := &fakeHosts{replies: []reply{{status: 200, body: report}}}
-		status, output := execute(t, hosts, "", append([]string{"report", "burn", "--html", file}, arguments...)...)
-		page, err := os.ReadFile(file)
-		if status != 0 || err != nil {
-			t.Fatalf("status %d, error %v\n%s", status, err, output)
-		}
-		text := string(page)
-		inlined := strings.Contains(text, "var inlined = 1") && !strings.Contains(text, "src=")
-		if inlined != (arguments != nil) || !strings.Contains(text, "2.5") || strings.Contains(text, "</script>find") {
-			t.Errorf("page for %v:\n%s", arguments, text)
+	hosts := &fakeHosts{replies: []reply{{status: 200, body: report}}}
+	status, output := execute(t, hosts, "", "report", "burn", "--html", file)
+	page, err := os.ReadFile(file)
+	if status != 0 || err != nil {
+		t.Fatalf("status %d, error %v\n%s", status, err, output)
+	}
+	text := string(page)
+	if !strings.Contains(text, "2.5") || !strings.Contains(text, "<svg") {
+		t.Errorf("page lacks figures or plots:\n%s", text)
+	}
+	for _, bad := range []string{"src=", "<script", "</script>find"} {
+		if strings.Contains(text, bad) {
+			t.Errorf("page contains %q", bad)
 		}
 	}
 }
--- a/internal/dccommand/dcreportburncommand/reportburn.go
+++ b/internal/dccommand/dcreportburncommand/reportburn.go
@@ -13,16 +13,12 @@
 	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
 )
 
-// maxScriptBytes is above the size of the full build of echarts, about 1 MiB.
-const maxScriptBytes = 8 << 20
-
 // Options of report burn.
 type Options struct {
 	dccommand.Target
 	dccommand.Output
 	dccommand.Period
-	HTML   string `name:"html" help:"Also write a page with plots to this file." type:"path" placeholder:"FILE"`
-	Script string `help:"Copy of echarts.min.js to put into the page. Without it the page holds the figures and loads the script for its plots from the network." type:"path" placeholder:"FILE"`
+	HTML string `name:"html" help:"Also write a self-contained page with plots to this file." type:"path" placeholder:"FILE"`
 }
 
 // Help returns examples.
@@ -33,7 +29,7 @@
 Examples:
 
   dandelioncart report burn --since 6h
-  dandelioncart report burn --html burn.html --script echarts.min.js
+  dandelioncart report burn --html burn.html
 
 ` + dccommand.ExitHelp()
 }
@@ -90,16 +86,9 @@
 }
 
 func (o *Options) writePage(tool *dccommand.Tool, answer *callerv1.ReportResponse) error {
-	var script []byte
-	if o.Script != "" {
-		var err error
-		if script, err = dccommand.ReadInput(tool, o.Script, maxScriptBytes); err != nil {
-			return err
-		}
-	}
-	var page bytes.Buffer
-	if err := render(&page, answer, string(script)); err != nil {
+	var out bytes.Buffer
+	if err := page(answer).Write(&out); err != nil {
 		return err
 	}
-	return os.WriteFile(o.HTML, page.Bytes(), 0o600)
+	return os.WriteFile(o.HTML, out.Bytes(), 0o600)
 }
--- a/internal/dcload/report.go
+++ b/internal/dcload/report.go
@@ -106,7 +106,7 @@
 	{"Refused or failed", "1/s", false, func(s *benchv1.Second) float64 { return float64(s.GetRefused()) }},
 }
 
-func charts(results *benchv1.Results) (list []dcplot.Chart) {
+func charts(results *benchv1.Results) (list []dcplot.Drawing) {
 	for _, description := range overTime {
 		chart := dcplot.Chart{Title: description.title, XLabel: "time (s)", YLabel: description.unit, LogY: description.logarithmic}
 		for _, run := range results.GetRuns() {
--- a/internal/dcplot/dcplot.go
+++ b/internal/dcplot/dcplot.go
@@ -1,4 +1,4 @@
-// Package dcplot draws line charts as SVG and puts them on a self-contained
+// Package dcplot draws line and bar charts as SVG and puts them on a self-contained
 // HTML page. The page loads nothing from the network, so that a report can be
 // kept and passed on as one file.
 package dcplot
@@ -77,6 +77,11 @@
 		figure.Y.Scale = plot.LogScale{}
 		figure.Y.Tick.Marker = plot.LogTicks{Prec: -1}
 	}
+	return render(figure)
+}
+
+// render draws a figure as an svg element.
+func render(figure *plot.Plot) (svg template.HTML, err error) {
 	canvas := vgsvg.New(chartWidth, chartHeight)
 	figure.Draw(draw.New(canvas))
 	var out bytes.Buffer
@@ -117,7 +122,12 @@
 	Notes []string
 	// Tables stand above the charts.
 	Tables []Table
-	Charts []Chart
+	Charts []Drawing
+}
+
+// Drawing is a chart of a page.
+type Drawing interface {
+	SVG() (template.HTML, error)
 }
 
 var pageTemplate = template.Must(template.New("page").Parse(`<!DOCTYPE html>
--- a/internal/dcplot/dcplot_test.go
+++ b/internal/dcplot/dcplot_test.go
@@ -13,10 +13,11 @@
 	page := Page{
 		Title:  "run <1>",
 		Tables: []Table{{Title: "figures", Header: []string{"a"}, Rows: [][]string{{"<b>"}}}},
-		Charts: []Chart{
-			{Title: "empty", Series: []Series{{Name: "none"}}},
-			{Title: "log", LogY: true, Series: []Series{{Name: "zero", Points: []Point{{0, 0}}}}},
-			{Title: "line", Series: []Series{{Name: "p99", Points: []Point{{0, 1}, {1, 2}}}}},
+		Charts: []Drawing{
+			Chart{Title: "empty", Series: []Series{{Name: "none"}}},
+			Chart{Title: "log", LogY: true, Series: []Series{{Name: "zero", Points: []Point{{0, 0}}}}},
+			Chart{Title: "line", Series: []Series{{Name: "p99", Points: []Point{{0, 1}, {1, 2}}}}},
+			Bars{Title: "bars <i>", Labels: []string{"a", "b"}, Series: []BarSeries{{Name: "1h", Values: []float64{1, 2}}}},
 		},
 	}
 	var out bytes.Buffer
@@ -24,10 +25,10 @@
 		t.Fatal(err)
 	}
 	html := out.String()
-	if strings.Count(html, "<svg") != 3 {
-		t.Errorf("got %d charts, want 3", strings.Count(html, "<svg"))
+	if strings.Count(html, "<svg") != 4 {
+		t.Errorf("got %d charts, want 4", strings.Count(html, "<svg"))
 	}
-	for _, bad := range []string{"<script", "<link", "src=", "<b>", "<?xml"} {
+	for _, bad := range []string{"<script", "<link", "src=", "<b>", "<i>", "<?xml"} {
 		if strings.Contains(html, bad) {
 			t.Errorf("page contains %q", bad)
 		}
