Add the caller client library

Callers need a client that never repeats what may have run. A query is sent again only when nothing was written, or when the tier says not-run for a reason that another host may not share; load shedding is not retried. An order is sent again with its key after a lost reply. From then on a not-run answer speaks for its own transmission only, so the result over all is unknown unless the order ran.

The outcome field decides, the HTTP status never does. An answer without a known outcome, or for another order key, proves nothing.

--- /dev/null
+++ b/pkg/dcclient/client_test.go
@@ -0,0 +1,251 @@
+package dcclient_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dandelioncart/dandelioncart/pkg/dcclient"
+)
+
+// reply is what one host of the tier does with a request.
+type reply struct {
+	refuse  bool
+	lose    bool
+	status  int
+	outcome string
+	reason  string
+	key     string
+}
+
+var (
+	refuse   = reply{refuse: true}
+	lose     = reply{lose: true}
+	ran      = reply{status: 200, outcome: "ran", reason: "ok"}
+	stopping = reply{status: 503, outcome: "not-run", reason: "host-stopping"}
+)
+
+func (r reply) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	if r.lose {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(r.status)
+	fmt.Fprintf(w, `{"result":{"outcome":%q,"reason":%q,"host-id":"h1"},"key":%q,"new-field":1}`, r.outcome, r.reason, r.key)
+}
+
+// tier is an entry that answers with the addresses of hosts.
+type tier struct {
+	entry *httptest.Server
+	asked atomic.Int32
+}
+
+// newTier lists hosts so that the first call of a client begins with the first.
+func newTier(t *testing.T, lifetime time.Duration, hosts ...http.Handler) *tier {
+	t.Helper()
+	list := make([]string, len(hosts))
+	for i, host := range hosts {
+		list[(i+1)%len(hosts)] = listen(t, host)
+	}
+	found := &tier{}
+	found.entry = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		found.asked.Add(1)
+		_ = json.NewEncoder(w).Encode(map[string]any{"addresses": list, "lifetime-ms": lifetime.Milliseconds()})
+	}))
+	t.Cleanup(found.entry.Close)
+	return found
+}
+
+// listen returns the address of a host, on which nothing listens when it
+// refuses.
+func listen(t *testing.T, host http.Handler) string {
+	t.Helper()
+	if r, ok := host.(reply); ok && r.refuse {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		return listener.Addr().String()
+	}
+	server := httptest.NewServer(host)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func (f *tier) client(t *testing.T) *dcclient.Client {
+	client := dcclient.New("bakery", "secret", f.entry.Listener.Addr().String())
+	t.Cleanup(client.Close)
+	return client
+}
+
+func limited(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// TestRetry guards against a retry of what may have run, against a not-run
+// without proof, and against giving up on what is proven not to have run.
+func TestRetry(t *testing.T) {
+	malformed := reply{status: 200, outcome: "maybe"}
+	queueFull := reply{status: 429, outcome: "not-run", reason: "queue-full"}
+	noStore := reply{status: 503, outcome: "not-run", reason: "store-unavailable"}
+	open := reply{status: 200, outcome: "unknown", reason: "outcome-unknown"}
+	foreign := reply{status: 200, outcome: "ran", key: "other"}
+	cases := []struct {
+		name     string
+		kind     string
+		hosts    []reply
+		outcome  dcclient.Outcome
+		reason   string
+		attempts int
+		fails    bool
+	}{
+		{"refused connection", "query", []reply{refuse, ran}, "ran", "ok", 2, false},
+		{"stopping host", "query", []reply{stopping, ran}, "ran", "ok", 2, false},
+		{"all stopping", "query", []reply{stopping, stopping}, "not-run", "host-stopping", 2, false},
+		{"stopping, then refused", "query", []reply{stopping, refuse}, "not-run", "host-stopping", 2, false},
+		{"load shedding", "query", []reply{queueFull, ran}, "not-run", "queue-full", 1, false},
+		{"lost query", "query", []reply{lose, ran}, "unknown", "connection-failed", 1, true},
+		{"malformed answer", "query", []reply{malformed, ran}, "unknown", "connection-failed", 1, true},
+		{"ran with error status", "query", []reply{{status: 500, outcome: "ran", reason: "ok"}, stopping}, "ran", "ok", 1, false},
+		{"not run with status 200", "query", []reply{{status: 200, outcome: "not-run", reason: "host-stopping"}, ran}, "ran", "ok", 2, false},
+		{"none answers", "query", []reply{refuse, refuse}, "not-run", "connection-failed", 4, true},
+		{"lost order", "order", []reply{lose, ran}, "ran", "ok", 2, false},
+		{"lost order, then refused", "order", []reply{lose, noStore}, "unknown", "outcome-unknown", 2, false},
+		{"lost order, then no host", "order", []reply{lose, refuse}, "unknown", "connection-failed", 4, true},
+		{"order for another key", "order", []reply{foreign, open}, "unknown", "outcome-unknown", 2, false},
+		{"unknown order", "order", []reply{open, ran}, "unknown", "outcome-unknown", 1, false},
+		{"order without store", "order", []reply{noStore, ran}, "ran", "ok", 2, false},
+		{"lost lookup", "lookup", []reply{lose, ran}, "ran", "ok", 2, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var hosts []http.Handler
+			for _, host := range c.hosts {
+				hosts = append(hosts, host)
+			}
+			client := newTier(t, time.Hour, hosts...).client(t)
+			result, err := do(limited(t), client, c.kind)
+			if result.Outcome != c.outcome || result.Reason != c.reason || result.Attempts != c.attempts {
+				t.Errorf("got %+v, want %s %s after %d attempts", result, c.outcome, c.reason, c.attempts)
+			}
+			if (err != nil) != c.fails {
+				t.Errorf("error is %v", err)
+			}
+		})
+	}
+}
+
+func do(ctx context.Context, client *dcclient.Client, kind string) (dcclient.Result, error) {
+	switch kind {
+	case "order":
+		answer, err := client.Order(ctx, dcclient.Order{Group: "mill", Service: "mill", Key: "k1"})
+		return answer.Result, err
+	case "lookup":
+		answer, err := client.OrderOutcome(ctx, "mill", "k1")
+		return answer.Result, err
+	}
+	answer, err := client.Query(ctx, dcclient.Query{Group: "mill"})
+	return answer.Result, err
+}
+
+// TestAddressLifetime guards against addresses that are kept for too long or
+// asked for too often, and against load on one address only.
+func TestAddressLifetime(t *testing.T) {
+	var first, second atomic.Int32
+	counted := func(count *atomic.Int32) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			count.Add(1)
+			ran.ServeHTTP(w, r)
+		}
+	}
+	found := newTier(t, 5*time.Second, counted(&first), counted(&second))
+	client := found.client(t)
+	clock := clockwork.NewFakeClock()
+	client.Clock = clock
+	query := func() {
+		t.Helper()
+		ctx, cancel := clockwork.WithTimeout(t.Context(), clock, time.Hour)
+		defer cancel()
+		if _, err := client.Query(ctx, dcclient.Query{Group: "mill"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 10 {
+		query()
+	}
+	if asked := found.asked.Load(); asked != 1 || first.Load() != 5 || second.Load() != 5 {
+		t.Errorf("asked %d times, %d and %d queries, want 1, 5 and 5", asked, first.Load(), second.Load())
+	}
+	clock.Advance(5 * time.Second)
+	query()
+	if asked := found.asked.Load(); asked != 2 {
+		t.Errorf("asked %d times, want 2", asked)
+	}
+}
+
+// TestRequest guards against a request without deadline, department or
+// kebab-case fields, and against an answer that loses its coverage.
+func TestRequest(t *testing.T) {
+	host := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		department, credential, _ := r.BasicAuth()
+		remaining, _ := strconv.Atoi(r.Header.Get("Request-Timeout-Ms"))
+		var body map[string]any
+		_ = json.NewDecoder(r.Body).Decode(&body)
+		if department != "bakery" || credential != "secret" || remaining < 1 || remaining > 3600000 || body["service-group"] != "mill" {
+			t.Errorf("request has %s:%s, %d ms and %v", department, credential, remaining, body)
+		}
+		_, _ = w.Write([]byte(`{"result":{"outcome":"ran","reason":"ok"},"index-version":"v1","elapsed-us":1500,
+			"coverage":[{"service":"mill","map-epoch":1,"covered":["a"],"missing":[{"shard":"b","reason":"no-server"}]}],
+			"shards":[{"service":"mill","shard":"a","body":"ZmxvdXI="}]}`))
+	})
+	client := newTier(t, time.Hour, host).client(t)
+	answer, err := client.Query(limited(t), dcclient.Query{Group: "mill"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := dcclient.QueryAnswer{
+		Result:       dcclient.Result{Outcome: dcclient.Ran, Reason: "ok", Attempts: 1},
+		IndexVersion: "v1",
+		Coverage: []dcclient.Coverage{{Service: "mill", MapEpoch: 1, Covered: []string{"a"},
+			Missing: []dcclient.MissingShard{{Shard: "b", Reason: "no-server"}}}},
+		Shards:  []dcclient.Shard{{Service: "mill", Shard: "a", Body: []byte("flour")}},
+		Elapsed: 1500 * time.Microsecond,
+	}
+	if diff := cmp.Diff(want, answer); diff != "" {
+		t.Error(diff)
+	}
+	if answer.Complete() {
+		t.Error("answer with a missing shard is called complete")
+	}
+}
+
+// TestNoDeadline guards against a request that could wait for ever.
+func TestNoDeadline(t *testing.T) {
+	answer, err := newTier(t, time.Hour, ran).client(t).Query(context.Background(), dcclient.Query{Group: "mill"})
+	if err == nil || answer.Result.Outcome != dcclient.NotRun || !strings.Contains(err.Error(), "deadline") {
+		t.Errorf("result %+v, error %v", answer.Result, err)
+	}
+}
+
+// TestNoEntry guards against a run without proof when no entry answers.
+func TestNoEntry(t *testing.T) {
+	client := dcclient.New("bakery", "secret", listen(t, refuse))
+	defer client.Close()
+	answer, err := client.Order(limited(t), dcclient.Order{Group: "mill", Key: "k1"})
+	if err == nil || answer.Result.Outcome != dcclient.NotRun {
+		t.Errorf("result %+v, error %v", answer.Result, err)
+	}
+}
