Start local deployments for experiments and check answers against the stand-ins

Cause: the load program needs processes, a configuration that matches the stand-ins, and checks of every answer. Change: dclocal starts stand-ins and hosts; dcsettings.Parse reads any schema strictly, and the stand-in profile uses it in place of its own reader.

--- a/internal/dccommand/dcstandincommand/command.go
+++ b/internal/dccommand/dcstandincommand/command.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return err
 	}
-	profile, err := dcstandin.ParseProfile(text)
+	profile, err := dcstandin.ParseProfile(options.Profile, text)
 	if err != nil {
 		return err
 	}
--- a/internal/dccommand/dcstandincommand/command_test.go
+++ b/internal/dccommand/dcstandincommand/command_test.go
@@ -105,7 +105,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		profile, err := dcstandin.ParseProfile(text)
+		profile, err := dcstandin.ParseProfile(path, text)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/dcload/report.go
+++ b/internal/dcload/report.go
@@ -33,7 +33,7 @@
 	for _, run := range results.GetRuns() {
 		for _, load := range run.GetLoads() {
 			table.Rows = append(table.Rows, []string{
-				run.GetVariant(), strconv.FormatUint(run.GetSeed(), 10), load.GetServiceGroup(), load.GetDepartment(),
+				run.GetVariant(), count(run.GetSeed()), load.GetServiceGroup(), load.GetDepartment(),
 				count(load.GetRequests()), count(load.GetGood()), decimal(load.GetGoodput()), decimal(load.GetP50Ms()),
 				decimal(load.GetP99Ms()), decimal(load.GetP999Ms()), fmt.Sprintf("%.4f", load.GetCoverage()),
 				count(load.GetComplete()), count(load.GetViolations()),
@@ -57,9 +57,9 @@
 		}
 		upstream := run.GetUpstream()
 		table.Rows = append(table.Rows, []string{
-			run.GetVariant(), strconv.FormatUint(run.GetSeed(), 10), strconv.FormatUint(upstream.GetSearches(), 10),
-			fmt.Sprintf("%.4f", upstream.GetExtraLoad()), strconv.FormatUint(upstream.GetDoubleRuns(), 10),
-			strconv.FormatUint(upstream.GetCrashes(), 10), strconv.FormatUint(upstream.GetRefusedConnections(), 10),
+			run.GetVariant(), count(run.GetSeed()), count(upstream.GetSearches()),
+			fmt.Sprintf("%.4f", upstream.GetExtraLoad()), count(upstream.GetDoubleRuns()),
+			count(upstream.GetCrashes()), count(upstream.GetRefusedConnections()),
 			decimal(cpu), decimal(memory),
 		})
 	}
@@ -74,7 +74,7 @@
 			for _, reason := range slices.Sorted(maps.Keys(load.GetReasons())) {
 				parts = append(parts, fmt.Sprintf("%s %d", reason, load.GetReasons()[reason]))
 			}
-			table.Rows = append(table.Rows, []string{run.GetVariant(), strconv.FormatUint(run.GetSeed(), 10),
+			table.Rows = append(table.Rows, []string{run.GetVariant(), count(run.GetSeed()),
 				load.GetServiceGroup(), load.GetDepartment(), strings.Join(parts, ", ")})
 		}
 	}
--- /dev/null
+++ b/internal/dclocal/configuration.go
@@ -0,0 +1,111 @@
+package dclocal
+
+import (
+	"crypto/rand"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcauth"
+	"github.com/dandelioncart/dandelioncart/internal/dcsettings"
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+	standinv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/standin/v1"
+)
+
+// SchemaVersion is accepted by every group of a local deployment.
+const SchemaVersion = "v1"
+
+// administrator may change the shared parts of the configuration.
+const administrator = "operations"
+
+const (
+	maxDeadline     = 10 * time.Second
+	keyRetention    = 24 * time.Hour
+	latencyLimit    = 250 * time.Millisecond
+	ledgerPartition = 16
+)
+
+// Credential returns the credential of a department of a local deployment.
+func Credential(department string) string {
+	return department + "-local-credential"
+}
+
+// Groups describes the callers of a service group.
+type Groups map[string]GroupUse
+
+// GroupUse is how a group is called.
+type GroupUse struct {
+	// Kind is dcsettings.KindQuery or dcsettings.KindOrder.
+	Kind string
+	// Weights of the departments that call it.
+	Weights map[string]float64
+}
+
+// buildConfiguration returns the operators' configuration for stand-ins that
+// are ready.
+func buildConfiguration(profile *standinv1.Profile, ready *standinv1.Ready, uses Groups, hosts int) (configuration *settingsv1.Configuration, err error) {
+	defer func() { err = eris.Wrap(err, "build configuration") }()
+	configuration = &settingsv1.Configuration{
+		Deployment:       "local",
+		FailureDomains:   profile.GetFailureDomains(),
+		EntryHosts:       int32(hosts),
+		LedgerPartitions: ledgerPartition,
+	}
+	shapes := map[string]*standinv1.Group{}
+	for _, shape := range profile.GetGroups() {
+		shapes[shape.GetName()] = shape
+	}
+	departments := map[string]bool{administrator: true}
+	for _, group := range ready.GetGroups() {
+		use, ok := uses[group.GetName()]
+		if !ok {
+			continue
+		}
+		configuration.ServiceGroups = append(configuration.ServiceGroups, buildGroup(group, shapes[group.GetName()], use))
+		for department := range use.Weights {
+			departments[department] = true
+		}
+	}
+	for department := range departments {
+		digest, err := dcauth.NewDigest(rand.Reader, Credential(department))
+		if err != nil {
+			return nil, err
+		}
+		configuration.Departments = append(configuration.Departments, &settingsv1.Department{
+			Name: department, CredentialDigests: []string{digest}, Administrator: department == administrator,
+		})
+	}
+	return configuration, nil
+}
+
+func buildGroup(group *standinv1.ReadyGroup, shape *standinv1.Group, use GroupUse) *settingsv1.ServiceGroup {
+	rules := &settingsv1.ServiceGroup{
+		Name: group.GetName(), Owner: administrator, Kind: use.Kind, SchemaVersions: []string{SchemaVersion},
+		Slots: shape.GetSlots(), Connections: shape.GetConnections(), ConnectTime: shape.GetConnectTime(),
+		MaxDeadline: durationpb.New(maxDeadline), Services: group.GetServices(),
+		Objectives: []*settingsv1.Objective{{Kind: dcsettings.ObjectiveLatency, Target: 0.99, Threshold: durationpb.New(latencyLimit)}},
+	}
+	for department, weight := range use.Weights {
+		rules.Shares = append(rules.Shares, &settingsv1.DepartmentShare{Department: department, Weight: weight})
+	}
+	if use.Kind == dcsettings.KindOrder {
+		rules.KeyRetention = durationpb.New(keyRetention)
+		return rules
+	}
+	rules.Coverage = dcsettings.CoveragePartial
+	rules.MinCoverage = 0.5
+	rules.HedgeQuantile = 0.95
+	rules.ExtraLoad = 0.05
+	rules.Quarantine = &settingsv1.Quarantine{Canary: true, Duration: durationpb.New(10 * time.Minute)}
+	return rules
+}
+
+// document returns the configuration as a document that config apply accepts;
+// JSON is YAML, and its durations are Go duration text. Zero values are left
+// out and take their defaults.
+func document(configuration *settingsv1.Configuration) (text string, err error) {
+	encoded, err := protojson.Marshal(configuration)
+	return string(encoded), eris.Wrap(err, "write configuration")
+}
--- /dev/null
+++ b/internal/dclocal/dclocal.go
@@ -0,0 +1,363 @@
+// Package dclocal starts a deployment on one machine for experiments: the
+// stand-ins for platform and upstreams, and the hosts, each as its own
+// process on loopback.
+package dclocal
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcauth"
+	"github.com/dandelioncart/dandelioncart/internal/dcstandin"
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+	standinv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/standin/v1"
+
+	"crypto/rand"
+)
+
+const (
+	startPatience   = 30 * time.Second
+	pollInterval    = 50 * time.Millisecond
+	addressLifetime = 2 * time.Second
+	maxReplyBytes   = 16 << 20
+)
+
+// Deployment is a set of processes on loopback. Set the exported fields before
+// Start.
+type Deployment struct {
+	// Binaries is the directory of the programs.
+	Binaries string
+	// Profile is the path of the stand-ins' profile.
+	Profile string
+	// Hosts is the number of entry hosts.
+	Hosts int
+	// Uses tells which groups are configured and who calls them.
+	Uses Groups
+	// Change adapts the configuration before it is applied; nil for none.
+	Change func(*settingsv1.Configuration)
+	// Directory receives settings and logs.
+	Directory string
+	Clock     clockwork.Clock
+	HTTP      *http.Client
+
+	profile *standinv1.Profile
+	ready   *standinv1.Ready
+	standin *process
+	hosts   []*host
+	digest  string
+	logs    []*os.File
+}
+
+type host struct {
+	id       string
+	domain   string
+	callers  string
+	peers    string
+	settings string
+	process  *process
+}
+
+// Start starts every process, applies the configuration and waits until each
+// host has it in force.
+func (d *Deployment) Start(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			d.Stop()
+			err = eris.Wrap(err, "start local deployment")
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, startPatience)
+	defer cancel()
+	if err := d.startStandin(ctx); err != nil {
+		return err
+	}
+	if d.digest, err = dcauth.NewDigest(rand.Reader, Credential(administrator)); err != nil {
+		return err
+	}
+	if err := d.planHosts(); err != nil {
+		return err
+	}
+	for index := range d.hosts {
+		if err := d.StartHost(index); err != nil {
+			return err
+		}
+	}
+	if err := d.waitAll(ctx, "/livez"); err != nil {
+		return err
+	}
+	configuration, err := buildConfiguration(d.profile, d.ready, d.Uses, d.Hosts)
+	if err != nil {
+		return err
+	}
+	if d.Change != nil {
+		d.Change(configuration)
+	}
+	if err := d.apply(ctx, configuration); err != nil {
+		return err
+	}
+	return d.waitAll(ctx, "/readyz")
+}
+
+func (d *Deployment) startStandin(ctx context.Context) error {
+	text, err := os.ReadFile(d.Profile)
+	if err != nil {
+		return err
+	}
+	if d.profile, err = dcstandin.ParseProfile(d.Profile, text); err != nil {
+		return err
+	}
+	log, err := d.openLog("standin")
+	if err != nil {
+		return err
+	}
+	reader, writer := io.Pipe()
+	d.standin, err = startProcess(filepath.Join(d.Binaries, "dandelioncart-standin"), []string{d.Profile}, writer, log)
+	if err != nil {
+		return err
+	}
+	go func() {
+		<-d.standin.done
+		_ = writer.CloseWithError(io.ErrUnexpectedEOF)
+	}()
+	stop := context.AfterFunc(ctx, func() { _ = reader.CloseWithError(ctx.Err()) })
+	defer stop()
+	line, err := bufio.NewReader(reader).ReadBytes('\n')
+	if err != nil {
+		return eris.Wrap(err, "stand-in did not get ready, see its log")
+	}
+	d.ready = &standinv1.Ready{}
+	return protojson.Unmarshal(line, d.ready)
+}
+
+// planHosts chooses addresses and writes the settings of each host.
+func (d *Deployment) planHosts() error {
+	domains := d.profile.GetFailureDomains()
+	for index := range d.Hosts {
+		callers, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		if listed := d.profile.GetTierHosts(); index < len(listed) {
+			callers = listed[index]
+		}
+		peers, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		id := fmt.Sprintf("host-%d", index+1)
+		d.hosts = append(d.hosts, &host{
+			id: id, domain: domains[index%len(domains)], callers: callers, peers: peers,
+			settings: filepath.Join(d.Directory, id+".yaml"),
+		})
+	}
+	for _, host := range d.hosts {
+		if err := d.writeSettings(host); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) writeSettings(host *host) error {
+	settings := &settingsv1.HostSettings{
+		HostId: host.id, FailureDomain: host.domain,
+		Callers:                   &settingsv1.Listener{Listen: host.callers},
+		Peers:                     &settingsv1.Listener{Listen: host.peers},
+		Store:                     &settingsv1.StoreSettings{Endpoints: []string{d.ready.GetStore()}, Prefix: "local/"},
+		HostList:                  &settingsv1.HostListSettings{Url: d.ready.GetHostList()},
+		AddressLifetime:           durationpb.New(addressLifetime),
+		BootstrapCredentialDigest: d.digest,
+	}
+	for _, other := range d.hosts {
+		if other != host {
+			settings.SeedPeers = append(settings.SeedPeers, other.peers)
+		}
+	}
+	text, err := protojson.Marshal(settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(host.settings, text, 0o600)
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+// StartHost starts a host, counted from 0, that is not running.
+func (d *Deployment) StartHost(index int) error {
+	host := d.hosts[index]
+	log, err := d.openLog(host.id)
+	if err != nil {
+		return err
+	}
+	host.process, err = startProcess(filepath.Join(d.Binaries, "dandelioncart"),
+		[]string{"serve", "--settings", host.settings}, log, log)
+	return err
+}
+
+// KillHost ends a host at once.
+func (d *Deployment) KillHost(index int) { d.hosts[index].process.kill() }
+
+// StopHost stops a host gracefully and waits for it.
+func (d *Deployment) StopHost(ctx context.Context, index int) error {
+	return d.hosts[index].process.stop(ctx)
+}
+
+// WaitReady waits until a host takes requests.
+func (d *Deployment) WaitReady(ctx context.Context, index int) error {
+	return d.wait(ctx, d.hosts[index], "/readyz")
+}
+
+// Pid returns the process id of a host.
+func (d *Deployment) Pid(index int) int { return d.hosts[index].process.pid() }
+
+// HostID returns the id of a host.
+func (d *Deployment) HostID(index int) string { return d.hosts[index].id }
+
+// Addresses returns the caller addresses of all hosts.
+func (d *Deployment) Addresses() (addresses []string) {
+	for _, host := range d.hosts {
+		addresses = append(addresses, host.callers)
+	}
+	return addresses
+}
+
+// Stop ends every process that is still running.
+func (d *Deployment) Stop() {
+	for _, host := range d.hosts {
+		if host.process != nil && !host.process.exited() {
+			host.process.kill()
+		}
+	}
+	if d.standin != nil && !d.standin.exited() {
+		d.standin.kill()
+	}
+	for _, log := range d.logs {
+		_ = log.Close()
+	}
+	d.hosts, d.logs = nil, nil
+}
+
+func (d *Deployment) openLog(name string) (*os.File, error) {
+	path := filepath.Join(d.Directory, name+".log")
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err == nil {
+		d.logs = append(d.logs, file)
+	}
+	return file, err
+}
+
+func (d *Deployment) waitAll(ctx context.Context, path string) error {
+	for _, host := range d.hosts {
+		if err := d.wait(ctx, host, path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) wait(ctx context.Context, host *host, path string) error {
+	for {
+		if host.process.exited() {
+			return eris.Errorf("%s ended early, see its log in %s", host.id, d.Directory)
+		}
+		reply, err := d.call(ctx, http.MethodGet, "http://"+host.callers+path, nil)
+		if err == nil && reply.status == http.StatusOK {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Wrapf(ctx.Err(), "%s did not answer %s", host.id, path)
+		case <-d.Clock.After(pollInterval):
+		}
+	}
+}
+
+// apply proposes the configuration to the first host as the first revision.
+func (d *Deployment) apply(ctx context.Context, configuration *settingsv1.Configuration) (err error) {
+	defer func() { err = eris.Wrap(err, "apply configuration") }()
+	text, err := document(configuration)
+	if err != nil {
+		return err
+	}
+	request := &callerv1.ApplyRequest{OperationId: uuid.NewString(), Document: text, Comment: "local deployment"}
+	reply, err := d.call(ctx, http.MethodPost, "http://"+d.hosts[0].callers+"/v1/config/apply", request)
+	if err != nil {
+		return err
+	}
+	if reply.status != http.StatusOK {
+		return eris.Errorf("status %d: %s", reply.status, reply.body)
+	}
+	return nil
+}
+
+// Admin changes a switch of the stand-ins; path may carry a selector.
+func (d *Deployment) Admin(ctx context.Context, method, path string, message proto.Message) error {
+	reply, err := d.call(ctx, method, d.ready.GetAdmin()+path, message)
+	if err == nil && reply.status >= http.StatusBadRequest {
+		err = eris.Errorf("status %d: %s", reply.status, reply.body)
+	}
+	return eris.Wrapf(err, "call stand-in %s", path)
+}
+
+// Report returns what the stand-ins counted.
+func (d *Deployment) Report(ctx context.Context) (report *standinv1.Report, err error) {
+	reply, err := d.call(ctx, http.MethodGet, d.ready.GetAdmin()+"/v1/report", nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "read stand-in report")
+	}
+	report = &standinv1.Report{}
+	return report, eris.Wrap(protojson.Unmarshal(reply.body, report), "read stand-in report")
+}
+
+type reply struct {
+	status int
+	body   []byte
+}
+
+func (d *Deployment) call(ctx context.Context, method, url string, message proto.Message) (answer reply, err error) {
+	var body []byte
+	if message != nil {
+		if body, err = protojson.Marshal(message); err != nil {
+			return answer, err
+		}
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return answer, err
+	}
+	request.SetBasicAuth(administrator, Credential(administrator))
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Request-Timeout-Ms", "5000")
+	response, err := d.HTTP.Do(request)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer.status = response.StatusCode
+	answer.body, err = io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	return answer, err
+}
--- a/internal/dcsettings/dcsettings.go
+++ b/internal/dcsettings/dcsettings.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
 	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
 	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
@@ -115,6 +116,12 @@
 	return configuration, nil
 }
 
+// Parse reads a document into a message of any schema with the same strict
+// rules. It knows no defaults and no contradictions of that schema.
+func Parse(file string, document []byte, message proto.Message) error {
+	return parse(file, document, message).err()
+}
+
 // sorted returns the faults by line. A fault behind an anchor occurs once for
 // each alias; only the first is kept.
 func sorted(faults Errors) Errors {
--- a/internal/dcsettings/scalar.go
+++ b/internal/dcsettings/scalar.go
@@ -52,6 +52,8 @@
 		return decodeBool(node)
 	case protoreflect.Int32Kind:
 		return decodeInt32(node)
+	case protoreflect.Uint32Kind:
+		return decodeUint32(node)
 	case protoreflect.DoubleKind:
 		return decodeDouble(node)
 	default:
@@ -85,6 +87,17 @@
 	return protoreflect.ValueOfInt32(int32(value)), nil
 }
 
+func decodeUint32(node *yaml.Node) (protoreflect.Value, error) {
+	var value uint64
+	if node.ShortTag() != "!!int" {
+		return protoreflect.Value{}, fmt.Errorf("must be a whole number, found %s", describe(node))
+	}
+	if node.Decode(&value) != nil || value > math.MaxUint32 {
+		return protoreflect.Value{}, fmt.Errorf("%s is out of range for a 32-bit number that is not negative", node.Value)
+	}
+	return protoreflect.ValueOfUint32(uint32(value)), nil
+}
+
 func decodeDouble(node *yaml.Node) (protoreflect.Value, error) {
 	var value float64
 	tag := node.ShortTag()
--- a/internal/dcstandin/profile.go
+++ b/internal/dcstandin/profile.go
@@ -1,31 +1,18 @@
 package dcstandin
 
 import (
-	"encoding/json"
-
 	"github.com/rotisserie/eris"
-	"go.yaml.in/yaml/v3"
-	"google.golang.org/protobuf/encoding/protojson"
 
+	"github.com/dandelioncart/dandelioncart/internal/dcsettings"
 	standinv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/standin/v1"
 )
 
-// ParseProfile reads a profile in YAML. Field names and durations are those of
-// the JSON form of the schema: kebab-case, and seconds such as 0.006s. Unknown
-// fields are errors.
-func ParseProfile(text []byte) (profile *standinv1.Profile, err error) {
-	defer func() { err = eris.Wrap(err, "parse stand-in profile") }()
-	var document map[string]any
-	if err := yaml.Unmarshal(text, &document); err != nil {
-		return nil, err
-	}
-	encoded, err := json.Marshal(document)
-	if err != nil {
-		return nil, err
-	}
-	profile = &standinv1.Profile{}
-	if err := protojson.Unmarshal(encoded, profile); err != nil {
-		return nil, err
+// ParseProfile reads a profile in strict YAML; the file is only a name for
+// error messages.
+func ParseProfile(file string, text []byte) (*standinv1.Profile, error) {
+	profile := &standinv1.Profile{}
+	if err := dcsettings.Parse(file, text, profile); err != nil {
+		return nil, eris.Wrap(err, "parse stand-in profile")
 	}
 	return profile, nil
 }
