--- a/internal/dccapacity/fanout.go
+++ b/internal/dccapacity/fanout.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protojson"
+
 	"github.com/dandelioncart/dandelioncart/internal/dcadmission"
 	"github.com/dandelioncart/dandelioncart/internal/dcbudget"
 	"github.com/dandelioncart/dandelioncart/internal/dcid"
@@ -110,3 +112,14 @@
 	})
 	return cost.elapsed / rounds
 }
+
+// statusBytes is the size of one status message as JSON.
+func statusBytes() float64 {
+	epoch := &upstreamv1.MapEpoch{Epoch: 1, TotalShards: int32(Target.ServersPerQuery)}
+	for replica := range replicas {
+		epoch.Shards = append(epoch.Shards, &upstreamv1.HeldShard{Shard: fmt.Sprintf("s%04d", replica), Versions: []string{"v0001", "v0002"}})
+	}
+	// A message without invalid text always marshals.
+	text, _ := protojson.Marshal(&upstreamv1.Status{State: "serving", Maps: []*upstreamv1.MapEpoch{epoch}})
+	return float64(len(text))
+}
--- a/internal/dccapacity/membership.go
+++ b/internal/dccapacity/membership.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -56,6 +57,7 @@
 	g := newGroup(size, seed)
 	g.rounds(settleRounds)
 	cost.Heap = float64(liveHeap()-before) / float64(size)
+	runtime.KeepAlive(g)
 	g.sent = 0
 	steady := measure(func() {
 		for round := range steadyRounds {
--- /dev/null
+++ b/internal/dccapacity/roles.go
@@ -0,0 +1,200 @@
+package dccapacity
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcaddress"
+	"github.com/dandelioncart/dandelioncart/internal/dcburn"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcmembership"
+	"github.com/dandelioncart/dandelioncart/internal/dcquarantine"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	"github.com/dandelioncart/dandelioncart/internal/dcsettings"
+	peerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/peer/v1"
+)
+
+// AddressCost is the cost of one address answer.
+type AddressCost struct {
+	Processor time.Duration
+	// Hosts in the answer.
+	Hosts int
+}
+
+// MeasureAddress answers for one of the target's server groups among a number
+// of hosts.
+func MeasureAddress(hosts int, seed uint64) (cost AddressCost) {
+	const answers = 200
+	view := syntheticHosts(hosts)
+	answerer := &dcaddress.Answerer{
+		Lifetime: 5 * time.Second, TotalServers: Target.Servers, Random: rand.New(rand.NewPCG(seed, 0)),
+	}
+	group := dcaddress.Group{Name: "group-01", Servers: Target.ServersPerQuery}
+	spent := measure(func() {
+		for range answers {
+			cost.Hosts = len(answerer.Answer(group, view).Addresses)
+		}
+	})
+	cost.Processor = spent.elapsed / answers
+	return cost
+}
+
+func syntheticHosts(count int) (hosts []dcmembership.Host) {
+	for index := range count {
+		hosts = append(hosts, dcmembership.Host{
+			ID:            dcid.HostID(fmt.Sprintf("host-%04d", index)),
+			Domain:        dcid.FailureDomain(fmt.Sprintf(syntheticDomain, index%Target.FailureDomains)),
+			CallerAddress: fmt.Sprintf("10.%d.%d.1:8080", index/250, index%250),
+			State:         dcmembership.Alive,
+		})
+	}
+	return hosts
+}
+
+// ConfigurationCost is the cost of one configuration change on one host.
+type ConfigurationCost struct {
+	// Processor is the time to check and decode the document.
+	Processor time.Duration
+	// Bytes and Compressed are the size of the document as written and as sent
+	// between hosts.
+	Bytes, Compressed int
+}
+
+// MeasureConfiguration reads a document that lists a number of servers.
+func MeasureConfiguration(servers int) (cost ConfigurationCost, err error) {
+	document := syntheticDocument(servers)
+	const reads = 3
+	spent := measure(func() {
+		for range reads {
+			if _, failure := dcsettings.ParseConfiguration("synthetic.yaml", document); failure != nil {
+				err = failure
+			}
+		}
+	})
+	var compressed bytes.Buffer
+	writer := gzip.NewWriter(&compressed)
+	// Writes to a buffer do not fail.
+	_, _ = writer.Write(document)
+	_ = writer.Close()
+	return ConfigurationCost{Processor: spent.elapsed / reads, Bytes: len(document), Compressed: compressed.Len()}, err
+}
+
+// syntheticDocument lists groups of Target.ServersPerQuery servers.
+func syntheticDocument(servers int) []byte {
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "deployment: synthetic\nentry-hosts: 4\nfailure-domains: [")
+	for domain := range Target.FailureDomains {
+		fmt.Fprintf(&out, syntheticDomain+", ", domain)
+	}
+	fmt.Fprintf(&out, "]\ndepartments: [{name: d, administrator: true, credential-digests: [%q]}]\nservice-groups:\n", syntheticDigest)
+	for first := 0; first < servers; first += Target.ServersPerQuery {
+		fmt.Fprintf(&out, "  - name: group-%04d\n    owner: d\n    kind: query\n    shares: [{department: d, weight: 1}]\n"+
+			"    schema-versions: [v1]\n    slots: 5\n    connections: 100\n    max-deadline: 2s\n    services:\n"+
+			"      - name: service-%04d\n        upstreams:\n", first, first)
+		writeServers(&out, first, min(first+Target.ServersPerQuery, servers))
+	}
+	return out.Bytes()
+}
+
+func writeServers(out *bytes.Buffer, first, end int) {
+	for domain := range Target.FailureDomains {
+		if first+domain >= end {
+			return
+		}
+		fmt.Fprintf(out, "          - failure-domain: "+syntheticDomain+"\n            servers:\n", domain)
+		for index := first + domain; index < end; index += Target.FailureDomains {
+			fmt.Fprintf(out, "              - %s\n", syntheticServer(index))
+		}
+	}
+}
+
+// syntheticDigest is the digest of a random credential that nothing uses.
+const syntheticDigest = "$argon2id$v=19$m=19456,t=2,p=1$XR7OLvJwUvYDyF/2g/UwEA$hyFmzk16AZgVZEdoJiB10L12dxZRPt3zRNZh8h0Dq6Y"
+
+// ReportCost is the cost of the counters of one host.
+type ReportCost struct {
+	// Processor time for one counted request.
+	Processor time.Duration
+	// BytesPerMinute are the replicated rows of one minute to one peer.
+	BytesPerMinute int
+	// Heap is the live memory of one hour of counters.
+	Heap float64
+}
+
+// MeasureReports counts requests of a number of pairs of group and department
+// for one hour.
+func MeasureReports(pairs int) (cost ReportCost) {
+	const minutes, perMinute = 60, 20
+	now := time.Unix(1_700_000_040, 0)
+	before := liveHeap()
+	counters := dcburn.New("host-0001", now.UnixNano(), now)
+	counters.SetReplicas([]dcid.HostID{syntheticPeer})
+	spent := measure(func() {
+		for minute := range minutes {
+			now = now.Add(time.Minute)
+			for index := range pairs * perMinute {
+				counters.Count(syntheticSample(index%pairs, index), now)
+			}
+			rows := counters.Pending(syntheticPeer, 1<<20, now.Add(time.Minute))
+			counters.Acknowledge(syntheticPeer, rows)
+			if minute == minutes-1 {
+				cost.BytesPerMinute = proto.Size(&peerv1.ExchangeRequest{Counters: rows})
+			}
+		}
+	})
+	cost.Processor = spent.elapsed / time.Duration(minutes*pairs*perMinute)
+	cost.Heap = float64(liveHeap()) - float64(before)
+	runtime.KeepAlive(counters)
+	return cost
+}
+
+// syntheticPeer holds a replica of the counters.
+const syntheticPeer = dcid.HostID("host-0002")
+
+func syntheticSample(pair, index int) dcburn.Sample {
+	sample := dcburn.Sample{
+		Group: dcid.GroupName(fmt.Sprintf("group-%04d", pair)), Department: "d",
+		Outcome: dcreason.Ran, Code: dcreason.OK, Good: []string{"latency 250ms", "coverage"},
+	}
+	if index%50 == 0 {
+		sample.Outcome, sample.Code, sample.Good = dcreason.NotRun, dcreason.QueueFull, nil
+	}
+	return sample
+}
+
+// QuarantineCost is the cost of the table of crashing requests.
+type QuarantineCost struct {
+	// Processor time for the decision and the verdict of one request.
+	Processor time.Duration
+	// Heap is the live memory of the table.
+	Heap float64
+}
+
+// MeasureQuarantine decides on requests with a number of distinct bodies.
+func MeasureQuarantine(bodies int) (cost QuarantineCost) {
+	rule := dcquarantine.Rule{Canary: true, Duration: 10 * time.Minute}
+	now := time.Unix(1_700_000_000, 0)
+	digests := make([]dcquarantine.Digest, bodies)
+	for index := range digests {
+		digests[index] = dcquarantine.DigestOf("g", "v1", fmt.Appendf(nil, "body %d", index))
+	}
+	before := liveHeap()
+	table := &dcquarantine.Table{}
+	spent := measure(func() {
+		for _, digest := range digests {
+			table.Decide(digest, rule, now)
+			table.Finish(digest, dcquarantine.Good, rule, now)
+		}
+	})
+	cost.Processor = spent.elapsed / time.Duration(bodies)
+	cost.Heap = float64(liveHeap()) - float64(before)
+	runtime.KeepAlive(table)
+	runtime.KeepAlive(digests)
+	return cost
+}
--- /dev/null
+++ b/internal/dccommand/dcbenchcapacitycommand/benchcapacity.go
@@ -0,0 +1,70 @@
+// Package dcbenchcapacitycommand measures the cost of each role and works out
+// the cost at the target size.
+package dcbenchcapacitycommand
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/dandelioncart/dandelioncart/internal/dccapacity"
+	"github.com/dandelioncart/dandelioncart/internal/dccommand"
+)
+
+// Options of capacity.
+type Options struct {
+	dccommand.Output
+	Seed uint64 `default:"1" help:"Seed of the random choices."`
+}
+
+// Help returns examples.
+func (o *Options) Help() string {
+	return `Runs the decision packages at several sizes in this process, fits a line to each
+cost, and prints the cost of each role at the target size. It takes a few minutes.
+
+Examples:
+
+  dandelioncart-bench capacity
+  dandelioncart-bench capacity --json > capacity.json`
+}
+
+// Run measures and prints.
+func (o *Options) Run(_ context.Context, tool *dccommand.Tool) error {
+	report, err := dccapacity.Measure(o.Seed, func(step string) {
+		fmt.Fprintf(tool.Err, "measure %s\n", step)
+	})
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		encoder := json.NewEncoder(tool.Out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(report)
+	}
+	return print(tool, report)
+}
+
+func print(tool *dccommand.Tool, report *dccapacity.Report) error {
+	fits := [][]string{{"FIGURE", "UNIT", "SIZES", "INTERCEPT", "SLOPE", "R2", "MAX-ERROR"}}
+	for _, series := range report.Series {
+		first, last := series.Points[0], series.Points[len(series.Points)-1]
+		fits = append(fits, []string{series.Figure, series.Unit, fmt.Sprintf("%g-%g", first.Size, last.Size),
+			fmt.Sprintf("%.3g", series.Fit.Intercept), fmt.Sprintf("%.3g", series.Fit.Slope),
+			fmt.Sprintf("%.3f", series.Fit.RSquared), fmt.Sprintf("%.0f%%", 100*series.Fit.MaxError)})
+	}
+	if err := dccommand.WriteTable(tool.Out, fits); err != nil {
+		return err
+	}
+	rows := [][]string{{"ROLE", "CORE-%", "MB", "B/S", "STORE-CALLS/S", "BASIS"}}
+	for _, row := range append(report.Rows, report.Control()) {
+		rows = append(rows, []string{row.Role, fmt.Sprintf("%.3f", 100*row.Core), fmt.Sprintf("%.2f", row.Bytes/(1<<20)),
+			fmt.Sprintf("%.0f", row.BytesPerSecond), fmt.Sprintf("%.1f", row.StoreCalls), row.Basis})
+	}
+	fmt.Fprintln(tool.Out)
+	if err := dccommand.WriteTable(tool.Out, rows); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(tool.Out, "\nsuspected by all hosts after %d s, revision in force on all hosts after %d s (limit %g s)\n",
+		report.SuspectSeconds, report.RevisionSeconds, dccapacity.LimitConfigInForce.Seconds())
+	return err
+}
--- /dev/null
+++ b/internal/dccommand/dcbenchruncommand/benchrun.go
@@ -0,0 +1,106 @@
+// Package dcbenchruncommand runs an experiment and writes its results.
+package dcbenchruncommand
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/dandelioncart/dandelioncart/internal/dccommand"
+	"github.com/dandelioncart/dandelioncart/internal/dcexperiment"
+	"github.com/dandelioncart/dandelioncart/internal/dcload"
+	benchv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/bench/v1"
+)
+
+// Options of run.
+type Options struct {
+	dccommand.Output
+	Experiment string `arg:"" type:"existingfile" help:"YAML file of the experiment."`
+	Binaries   string `type:"existingdir" default:"bin" help:"Directory of the programs."`
+	Out        string `type:"path" default:"out" help:"Directory for results, report and logs."`
+}
+
+// Help returns examples.
+func (o *Options) Help() string {
+	return `Starts stand-ins and hosts for each variant and repetition, sends open-loop load,
+brings about the faults, and writes results.json, report.html and the logs of
+all processes. It fails when an answer broke a promise.
+
+Examples:
+
+  dandelioncart-bench run examples/experiments/stragglers.yaml
+  dandelioncart-bench run examples/experiments/host-killed.yaml --out out/kill --json`
+}
+
+// Run runs the experiment.
+func (o *Options) Run(ctx context.Context, tool *dccommand.Tool) (err error) {
+	experiment, err := dcexperiment.Load(o.Experiment)
+	if err != nil {
+		return err
+	}
+	runner := &dcexperiment.Runner{
+		File: o.Experiment, Experiment: experiment, Binaries: o.Binaries,
+		Directory: filepath.Join(o.Out, experiment.GetName()), Clock: tool.Clock, Progress: tool.Err,
+	}
+	results, err := runner.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if err := write(runner.Directory, results); err != nil {
+		return err
+	}
+	if err := o.print(tool, results); err != nil {
+		return err
+	}
+	return violations(results)
+}
+
+func (o *Options) print(tool *dccommand.Tool, results *benchv1.Results) error {
+	if o.JSON {
+		return dccommand.WriteJSON(tool.Out, results)
+	}
+	for _, table := range dcload.Report(results).Tables {
+		rows := append([][]string{table.Header}, table.Rows...)
+		if err := dccommand.WriteTable(tool.Out, rows); err != nil {
+			return err
+		}
+		if _, err := tool.Out.Write([]byte("\n")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func write(directory string, results *benchv1.Results) error {
+	text, err := protojson.MarshalOptions{Multiline: true}.Marshal(results)
+	if err != nil {
+		return eris.Wrap(err, "write results")
+	}
+	if err := os.WriteFile(filepath.Join(directory, "results.json"), text, 0o644); err != nil {
+		return err
+	}
+	var page bytes.Buffer
+	if err := dcload.Report(results).Write(&page); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(directory, "report.html"), page.Bytes(), 0o644)
+}
+
+func violations(results *benchv1.Results) error {
+	for _, run := range results.GetRuns() {
+		if count := run.GetUpstream().GetDoubleRuns(); count > 0 {
+			return eris.Errorf("variant %s, seed %d: %d orders ran more than once", run.GetVariant(), run.GetSeed(), count)
+		}
+		for _, load := range run.GetLoads() {
+			if load.GetViolations() > 0 {
+				return eris.Errorf("variant %s, seed %d: %d answers broke a promise, for example: %s",
+					run.GetVariant(), run.GetSeed(), load.GetViolations(), load.GetViolationExamples()[0])
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dcexperiment/dcexperiment.go
@@ -0,0 +1,173 @@
+// Package dcexperiment runs experiments: it starts a local deployment for each
+// variant and repetition, sends the loads, brings about the faults on their
+// timetable, and collects what was measured.
+package dcexperiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dandelioncart/dandelioncart/internal/dclocal"
+	"github.com/dandelioncart/dandelioncart/internal/dcload"
+	"github.com/dandelioncart/dandelioncart/internal/dcsettings"
+	benchv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/bench/v1"
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+)
+
+// drainTime is the wait for the last answers after the end of sending.
+const drainTime = 15 * time.Second
+
+// Runner runs one experiment. Set the exported fields before Run.
+type Runner struct {
+	// File is the path of the experiment; the profile is relative to it.
+	File       string
+	Experiment *benchv1.Experiment
+	// Binaries is the directory of the programs.
+	Binaries string
+	// Directory receives logs, one directory for each run.
+	Directory string
+	Clock     clockwork.Clock
+	// Progress receives a line for each step.
+	Progress io.Writer
+}
+
+// Load reads and checks an experiment file.
+func Load(file string) (experiment *benchv1.Experiment, err error) {
+	text, err := dcsettings.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	experiment = &benchv1.Experiment{}
+	if err := dcsettings.Parse(file, text, experiment); err != nil {
+		return nil, err
+	}
+	return experiment, check(experiment)
+}
+
+func check(experiment *benchv1.Experiment) error {
+	switch {
+	case experiment.GetHosts() < 1:
+		return eris.New("hosts must be 1 or more")
+	case experiment.GetDuration().AsDuration() <= 0:
+		return eris.New("duration must be positive")
+	case len(experiment.GetLoads()) == 0:
+		return eris.New("the experiment has no loads")
+	}
+	for _, load := range experiment.GetLoads() {
+		if load.GetRate() <= 0 || load.GetDeadline().AsDuration() <= 0 {
+			return eris.Errorf("load of %s needs a positive rate and deadline", load.GetServiceGroup())
+		}
+	}
+	for _, fault := range experiment.GetFaults() {
+		if _, ok := actions[fault.GetAction()]; !ok {
+			return eris.Errorf("unknown fault action %q", fault.GetAction())
+		}
+	}
+	return nil
+}
+
+// Run runs every variant with every seed. Variants alternate, so that a drift
+// of the machine affects all of them.
+func (r *Runner) Run(ctx context.Context) (results *benchv1.Results, err error) {
+	defer func() { err = eris.Wrapf(err, "run experiment %s", r.Experiment.GetName()) }()
+	variants := r.Experiment.GetVariants()
+	if len(variants) == 0 {
+		variants = []*benchv1.Variant{{Name: "default"}}
+	}
+	results = &benchv1.Results{Experiment: r.Experiment}
+	for repetition := range max(r.Experiment.GetRepetitions(), 1) {
+		for _, variant := range variants {
+			seed := r.Experiment.GetSeed() + uint32(repetition)
+			run, err := r.runOne(ctx, variant, seed)
+			if err != nil {
+				return nil, err
+			}
+			results.Runs = append(results.Runs, run)
+		}
+	}
+	results.Comparisons = dcload.Compare(results.GetRuns())
+	return results, nil
+}
+
+func (r *Runner) runOne(ctx context.Context, variant *benchv1.Variant, seed uint32) (run *benchv1.Run, err error) {
+	directory := filepath.Join(r.Directory, fmt.Sprintf("%s-%d", variant.GetName(), seed))
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return nil, err
+	}
+	r.report("variant %s, seed %d: start", variant.GetName(), seed)
+	deployment := &dclocal.Deployment{
+		Binaries:  r.Binaries,
+		Profile:   filepath.Join(filepath.Dir(r.File), r.Experiment.GetProfile()),
+		Hosts:     int(r.Experiment.GetHosts()),
+		Uses:      uses(r.Experiment.GetLoads()),
+		Change:    func(configuration *settingsv1.Configuration) { applyVariant(configuration, variant) },
+		Directory: directory,
+		Clock:     r.Clock,
+		HTTP:      http.DefaultClient,
+	}
+	if err := deployment.Start(ctx); err != nil {
+		return nil, err
+	}
+	defer deployment.Stop()
+	session := newSession(r, deployment, variant, seed)
+	if err := session.run(ctx); err != nil {
+		return nil, err
+	}
+	return session.collect(ctx)
+}
+
+func (r *Runner) report(format string, arguments ...any) {
+	fmt.Fprintf(r.Progress, format+"\n", arguments...)
+}
+
+// uses derives kinds and weights of the groups from the loads.
+func uses(loads []*benchv1.Load) dclocal.Groups {
+	groups := dclocal.Groups{}
+	for _, load := range loads {
+		use, ok := groups[load.GetServiceGroup()]
+		if !ok {
+			use = dclocal.GroupUse{Kind: load.GetKind(), Weights: map[string]float64{}}
+			groups[load.GetServiceGroup()] = use
+		}
+		use.Weights[load.GetDepartment()] = max(load.GetWeight(), 1)
+	}
+	return groups
+}
+
+func applyVariant(configuration *settingsv1.Configuration, variant *benchv1.Variant) {
+	for _, group := range configuration.GetServiceGroups() {
+		if group.GetKind() != dcsettings.KindQuery {
+			continue
+		}
+		if variant.HedgeQuantile != nil {
+			group.HedgeQuantile = variant.GetHedgeQuantile()
+		}
+		if variant.ExtraLoad != nil {
+			group.ExtraLoad = variant.GetExtraLoad()
+		}
+		if variant.Canary != nil {
+			group.Quarantine.Canary = variant.GetCanary()
+		}
+		if variant.MaxQueue != nil {
+			group.MaxQueue = variant.GetMaxQueue()
+		}
+	}
+}
+
+// runAll runs functions at the same time and returns the first error.
+func runAll(ctx context.Context, functions ...func(context.Context) error) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, function := range functions {
+		group.Go(func() error { return function(ctx) })
+	}
+	return group.Wait()
+}
--- /dev/null
+++ b/internal/dcexperiment/faults.go
@@ -0,0 +1,75 @@
+package dcexperiment
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	benchv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/bench/v1"
+)
+
+// actions maps the name of a fault to what brings it about.
+var actions = map[string]func(*session, context.Context, *benchv1.Fault) error{
+	"kill-host": func(s *session, _ context.Context, fault *benchv1.Fault) error {
+		s.deployment.KillHost(int(fault.GetHost()) - 1)
+		return nil
+	},
+	"stop-host": func(s *session, ctx context.Context, fault *benchv1.Fault) error {
+		return s.deployment.StopHost(ctx, int(fault.GetHost())-1)
+	},
+	"start-host": func(s *session, _ context.Context, fault *benchv1.Fault) error {
+		return s.deployment.StartHost(int(fault.GetHost()) - 1)
+	},
+	"restart-host": (*session).restartHost,
+	"faults":       admin(http.MethodPut, "/v1/faults"),
+	"power":        admin(http.MethodPost, "/v1/power"),
+	"index":        admin(http.MethodPost, "/v1/index"),
+	"store":        admin(http.MethodPut, "/v1/store"),
+	"host-list":    admin(http.MethodPut, "/v1/host-list"),
+}
+
+// restartHost stops a host gracefully, starts it again and waits until it
+// takes requests.
+func (s *session) restartHost(ctx context.Context, fault *benchv1.Fault) error {
+	index := int(fault.GetHost()) - 1
+	if err := s.deployment.StopHost(ctx, index); err != nil {
+		return err
+	}
+	if err := s.deployment.StartHost(index); err != nil {
+		return err
+	}
+	return s.deployment.WaitReady(ctx, index)
+}
+
+func admin(method, path string) func(*session, context.Context, *benchv1.Fault) error {
+	return func(s *session, ctx context.Context, fault *benchv1.Fault) error {
+		target := path
+		if fault.GetSelector() != "" {
+			target += "?" + fault.GetSelector()
+		}
+		return s.deployment.Admin(ctx, method, target, []byte(fault.GetBody()))
+	}
+}
+
+// faults brings about the faults in order of time. A fault that takes longer
+// than the time to the next one delays it.
+func (s *session) faults(ctx context.Context, start time.Time) error {
+	if s.variant.GetWithoutFaults() {
+		return nil
+	}
+	ordered := slices.SortedStableFunc(slices.Values(s.runner.Experiment.GetFaults()), func(a, b *benchv1.Fault) int {
+		return cmp.Compare(a.GetAt().AsDuration(), b.GetAt().AsDuration())
+	})
+	for _, fault := range ordered {
+		if err := s.sleepUntil(ctx, start.Add(fault.GetAt().AsDuration())); err != nil {
+			return err
+		}
+		s.runner.report("variant %s, seed %d: %s", s.variant.GetName(), s.seed, fault.GetAction())
+		if err := actions[fault.GetAction()](s, ctx, fault); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/dclocal/dclocal.go
+++ b/internal/dclocal/dclocal.go
@@ -314,9 +314,10 @@
 	return nil
 }
 
-// Admin changes a switch of the stand-ins; path may carry a selector.
-func (d *Deployment) Admin(ctx context.Context, method, path string, message proto.Message) error {
-	reply, err := d.call(ctx, method, d.ready.GetAdmin()+path, message)
+// Admin changes a switch of the stand-ins with a JSON body; path may carry a
+// selector.
+func (d *Deployment) Admin(ctx context.Context, method, path string, body []byte) error {
+	reply, err := d.send(ctx, method, d.ready.GetAdmin()+path, body)
 	if err == nil && reply.status >= http.StatusBadRequest {
 		err = eris.Errorf("status %d: %s", reply.status, reply.body)
 	}
@@ -333,6 +334,32 @@
 	return report, eris.Wrap(protojson.Unmarshal(reply.body, report), "read stand-in report")
 }
 
+// Ran returns those of the orders that ran, by the stand-ins' journal.
+func (d *Deployment) Ran(ctx context.Context, department string, keys []string) (ran []string, err error) {
+	defer func() { err = eris.Wrap(err, "read stand-in journal") }()
+	request := &standinv1.RunsRequest{Department: department, Keys: keys}
+	reply, err := d.call(ctx, http.MethodPost, d.ready.GetAdmin()+"/v1/runs", request)
+	if err != nil {
+		return nil, err
+	}
+	response := &standinv1.RunsResponse{}
+	err = protojson.Unmarshal(reply.body, response)
+	return response.GetRan(), err
+}
+
+// Services returns the names of a group's services.
+func (d *Deployment) Services(group string) (names []string) {
+	for _, ready := range d.ready.GetGroups() {
+		if ready.GetName() != group {
+			continue
+		}
+		for _, service := range ready.GetServices() {
+			names = append(names, service.GetName())
+		}
+	}
+	return names
+}
+
 type reply struct {
 	status int
 	body   []byte
@@ -345,6 +372,10 @@
 			return answer, err
 		}
 	}
+	return d.send(ctx, method, url, body)
+}
+
+func (d *Deployment) send(ctx context.Context, method, url string, body []byte) (answer reply, err error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return answer, err
--- a/internal/dcstandin/admin.go
+++ b/internal/dcstandin/admin.go
@@ -26,6 +26,7 @@
 func NewAdmin(fleet *Fleet) *Admin {
 	a := &Admin{fleet: fleet, mux: http.NewServeMux()}
 	a.mux.HandleFunc("GET /v1/report", a.report)
+	a.mux.HandleFunc("POST /v1/runs", a.runs)
 	a.mux.HandleFunc("PUT /v1/faults", accept(a.setFaults))
 	a.mux.HandleFunc("POST /v1/index", accept(a.changeIndex))
 	a.mux.HandleFunc("POST /v1/power", accept(a.changePower))
@@ -185,7 +186,33 @@
 }
 
 func (a *Admin) report(w http.ResponseWriter, r *http.Request) {
-	text, err := protojson.Marshal(a.fleet.Report(selectorOf(r)))
+	answer(w, a.fleet.Report(selectorOf(r)))
+}
+
+// runs tells which of the given orders ran, so that an answer of "not run" can
+// be checked.
+func (a *Admin) runs(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	request := &standinv1.RunsRequest{}
+	if err == nil {
+		err = protojson.Unmarshal(text, request)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	response := &standinv1.RunsResponse{}
+	for _, key := range request.GetKeys() {
+		order := JournalKey{Department: dcid.Department(request.GetDepartment()), Key: dcid.OrderKey(key)}
+		if len(a.fleet.Journal.Runs(order)) > 0 {
+			response.Ran = append(response.Ran, key)
+		}
+	}
+	answer(w, response)
+}
+
+func answer(w http.ResponseWriter, message proto.Message) {
+	text, err := protojson.Marshal(message)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
