Add tests for parts that no test needed

Trial on a scratch copy: 41 single changes that switch off one mechanism each (heartbeat outranking, refutation, restart, probing, seat order, takeover wait, canary rule, row replacement, gap rules and others).

--- a/internal/dcburn/counters_test.go
+++ b/internal/dcburn/counters_test.go
@@ -76,9 +76,12 @@
 	early := a.Rows(at(0), at(1))
 	count(a, "d", 4, 0, 0.5)
 	late := a.Rows(at(0), at(1))
-	for _, rows := range [][]*peerv1.CounterRow{late, early, late} {
+	for _, rows := range [][]*peerv1.CounterRow{early, late, early} {
 		b.Merge(rows, at(0.6))
 	}
+	if got := requests(report(b, "d", 0, 1)); got != 7 {
+		t.Fatalf("%d requests, want 7", got)
+	}
 	replicate(t, a, b, 1)
 	replicate(t, a, b, 2)
 	count(b, "d", 1, 0, 2.5)
@@ -116,6 +119,11 @@
 			replicate(t, a, replica, 1.2)
 			replicate(t, begin("a", 1.5), replica, 4)
 		}, "[1-2:1]"},
+		"killed with rows and restarted in the second minute": {func(t *testing.T, a, replica *Counters) {
+			count(a, "d", 5, 0, 1.1)
+			replicate(t, a, replica, 1.2)
+			replicate(t, begin("a", 1.5), replica, 4)
+		}, "[1-2:1]"},
 		"stopped and restarted in the second minute": {func(t *testing.T, a, replica *Counters) {
 			count(a, "d", 5, 0, 1.1)
 			a.Close(at(1.2))
--- a/internal/dcconnshare/seats_test.go
+++ b/internal/dcconnshare/seats_test.go
@@ -273,7 +273,10 @@
 	w.hosts[0].pausedUntil, w.hosts[1].pausedUntil = now.Add(time.Hour), now.Add(time.Hour)
 	late, early := w.hosts[4], w.hosts[5]
 	lateAction := late.seats.Observe(w.read(), now, now)
-	w.apply(early.seats.Observe(w.read(), now, now))
+	earlyAction := early.seats.Observe(w.read(), now, now)
+	// A writer that was paused before its write counts from the write.
+	earlyAction.Record.TakenMs -= TakeoverWait.Milliseconds()
+	w.apply(earlyAction)
 	early.seats.Observe(w.read(), now, now)
 	lateAction.Number, lateAction.Expected = 2, w.seats[2].Modified
 	lateAction.Record.PreviousHostId = string(w.hosts[1].id)
--- a/internal/dcmembership/members_test.go
+++ b/internal/dcmembership/members_test.go
@@ -207,6 +207,10 @@
 	c.steps(3)
 	c.cut[[2]int{0, 3}], c.cut[[2]int{3, 0}] = true, true
 	c.members[1].ObserveSeat(testHost(3, 0).ID, 2, c.now)
+	rumor := c.members[0].wire(c.members[3].self, false)
+	rumor.State = string(Suspect)
+	c.members[1].Receive(nil, []*peerv1.Member{rumor}, c.now)
+	c.want(t, 3, Alive, 3)
 	unusable := 0
 	for range 120 {
 		c.step()
@@ -226,6 +230,25 @@
 	}
 }
 
+// Guards against two sides of a partition that gave each other up for ever.
+func TestSidesFindEachOther(t *testing.T) {
+	c := newCluster(4)
+	c.steps(3)
+	for _, cut := range [][2]int{{0, 2}, {0, 3}, {1, 2}, {1, 3}, {2, 0}, {3, 0}, {2, 1}, {3, 1}} {
+		c.cut[cut] = true
+	}
+	c.steps(5)
+	for _, m := range c.members {
+		m.ObserveStore(nil, c.now)
+	}
+	c.want(t, 3, Gone, 2)
+	c.cut = nil
+	c.steps(5)
+	for n := range c.members {
+		c.want(t, n, Alive, 3)
+	}
+}
+
 // Guards against an announced end that is taken back by a delayed heartbeat.
 func TestStoppedHostStaysGone(t *testing.T) {
 	c := newCluster(4)
--- a/internal/dcquarantine/table_test.go
+++ b/internal/dcquarantine/table_test.go
@@ -229,6 +229,10 @@
 	if decision := table.Decide("innocent", testRule, testStart); decision.Action != Run {
 		t.Fatalf("decision %+v after a good canary", decision)
 	}
+	table.Crash("innocent", "server-1", testRule, testStart)
+	if decision := table.Decide("innocent", testRule, testStart.Add(testRule.Duration)); decision.Action != Canary {
+		t.Fatalf("decision %+v after a suspicion that ended by itself", decision)
+	}
 }
 
 // Guards against two canaries of one digest, joiners that run a crashing
