Keep a started host from taking unknown hosts for gone

A host that just started knows nobody and would have taken over the seat of a live host. An unknown host now counts as gone only after a read of the store and twice the missed limit of intervals.

--- a/internal/dcconnshare/seats_test.go
+++ b/internal/dcconnshare/seats_test.go
@@ -11,8 +11,11 @@
 	ledgerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/ledger/v1"
 
 	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcmembership"
 )
 
+var _ View = (*dcmembership.Members)(nil)
+
 const (
 	testSeats = 4
 	// closeSteps is the longest time that a host takes to close its connections.
--- a/internal/dcmembership/evidence.go
+++ b/internal/dcmembership/evidence.go
@@ -193,6 +193,7 @@
 // ObserveStore takes a complete, successful read of the host records. It is not
 // called while the store is out, so that an outage changes nobody's state.
 func (m *Members) ObserveStore(records []*ledgerv1.HostRecord, now time.Time) []Change {
+	m.storeRead = true
 	present := make(map[dcid.HostID]int64, len(records))
 	for _, record := range records {
 		host := fromRecord(record)
--- a/internal/dcmembership/members.go
+++ b/internal/dcmembership/members.go
@@ -89,6 +89,10 @@
 // host that only others can reach.
 const maxLimitFactor = 16
 
+// settleFactor times the missed limit is the number of intervals after which a
+// started host has heard of all others.
+const settleFactor = 2
+
 type entry struct {
 	host Host
 	// stopped is set when the host announced its own end.
@@ -127,7 +131,9 @@
 	cursor            int
 	tick, version     uint64
 	peerHeard         time.Time
-	changes           []Change
+	// storeRead is set once the host records were read.
+	storeRead bool
+	changes   []Change
 }
 
 // New returns a view that knows this host only.
@@ -202,15 +208,17 @@
 	return m.peerHeard
 }
 
-// Gone reports that this host believes that an incarnation is gone. An unknown
-// host counts as gone.
+// Gone reports that this host believes that an incarnation is gone. A host that
+// neither the store nor any peer has named counts as gone, but not before this
+// host has read the store and had time to hear: a host that just started knows
+// nobody and would take over the seats of live hosts.
 func (m *Members) Gone(id dcid.HostID, incarnation int64) bool {
 	if id == m.self.ID {
 		return incarnation < m.self.Incarnation
 	}
 	e, ok := m.entries[id]
 	if !ok {
-		return true
+		return m.storeRead && m.tick > uint64(settleFactor*m.settings.MissedLimit)
 	}
 	return incarnation < e.host.Incarnation || e.host.State == Gone
 }
--- a/internal/dcmembership/members_test.go
+++ b/internal/dcmembership/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -230,6 +231,24 @@
 	}
 }
 
+// Guards against a host that just started and takes all others for gone.
+func TestUnknownHostIsNotGoneAtOnce(t *testing.T) {
+	m := New(testHost(0, 0), Settings{}, rand.New(rand.NewPCG(testSeed, 0)))
+	now := time.Unix(1_700_000_000, 0)
+	var gone []bool
+	for range 2 {
+		for range 2*defaultMissedLimit + 1 {
+			gone = append(gone, m.Gone("host-0009", 1))
+			m.Begin(now)
+		}
+		gone = append(gone, m.Gone("host-0009", 1))
+		m.ObserveStore(nil, now)
+	}
+	if slices.Index(gone, true) != 2*defaultMissedLimit+2 {
+		t.Fatalf("gone at %v, want after the store was read and the intervals have passed", gone)
+	}
+}
+
 // Guards against two sides of a partition that gave each other up for ever.
 func TestSidesFindEachOther(t *testing.T) {
 	c := newCluster(4)
