--- a/internal/dcconnshare/seats_test.go
+++ b/internal/dcconnshare/seats_test.go
@@ -11,8 +11,11 @@
 	ledgerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/ledger/v1"
 
 	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcmembership"
 )
 
+var _ View = (*dcmembership.Members)(nil)
+
 const (
 	testSeats = 4
 	// closeSteps is the longest time that a host takes to close its connections.
@@ -273,7 +276,10 @@
 	w.hosts[0].pausedUntil, w.hosts[1].pausedUntil = now.Add(time.Hour), now.Add(time.Hour)
 	late, early := w.hosts[4], w.hosts[5]
 	lateAction := late.seats.Observe(w.read(), now, now)
-	w.apply(early.seats.Observe(w.read(), now, now))
+	earlyAction := early.seats.Observe(w.read(), now, now)
+	// A writer that was paused before its write counts from the write.
+	earlyAction.Record.TakenMs -= TakeoverWait.Milliseconds()
+	w.apply(earlyAction)
 	early.seats.Observe(w.read(), now, now)
 	lateAction.Number, lateAction.Expected = 2, w.seats[2].Modified
 	lateAction.Record.PreviousHostId = string(w.hosts[1].id)
