Test the ledger under store, peer, host and upstream faults

Checks: runs for each key, truth of not-run, every store write against the previous one, and linearizability with porcupine. Two faulty variants must be rejected.

Fault found and fixed: Committer kept asking to be woken at once for a claim that had been answered while its swap was in flight.

--- a/internal/dcledger/committer.go
+++ b/internal/dcledger/committer.go
@@ -247,7 +247,7 @@
 	}
 	for _, target := range c.segments {
 		for _, work := range target.waiting() {
-			if !work.expires.IsZero() {
+			if !work.answered && !work.expires.IsZero() {
 				consider(work.expires)
 			}
 		}
--- /dev/null
+++ b/internal/dcledger/host_test.go
@@ -0,0 +1,366 @@
+package dcledger
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	"github.com/dandelioncart/dandelioncart/internal/dcupstream"
+	ledgerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/ledger/v1"
+)
+
+const testPartitions = 2
+
+// host is the shell of one host: it routes claims to the holder, falls back to
+// its own committer, and performs actions with the faults of its world.
+type host struct {
+	*world
+	id          int
+	random      *rand.Rand
+	incarnation int64
+	pausedUntil time.Time
+	lag         time.Duration
+	committers  map[dcid.Partition]*node
+}
+
+// node is a committer with its waiting callers.
+type node struct {
+	*Committer
+	waiting map[Ticket]func(Result)
+	last    Ticket
+	wakes   int
+}
+
+func newHost(w *world, id int) *host {
+	h := &host{world: w, id: id, lag: time.Duration(id) * 70 * time.Millisecond}
+	h.random = rand.New(rand.NewPCG(uint64(id), w.random.Uint64()))
+	h.kill()
+	return h
+}
+
+// kill replaces the process by a new one without state.
+func (h *host) kill() {
+	h.incarnation++
+	h.pausedUntil = time.Time{}
+	h.committers = map[dcid.Partition]*node{}
+}
+
+// deliver runs fn on this process after a delay, unless it was killed, and no
+// earlier than it wakes from a pause.
+func (h *host) deliver(delay time.Duration, fn func()) {
+	incarnation := h.incarnation
+	h.after(delay, func() {
+		switch {
+		case h.incarnation != incarnation:
+		case h.now.Before(h.pausedUntil):
+			h.deliver(h.pausedUntil.Sub(h.now), fn)
+		default:
+			fn()
+		}
+	})
+}
+
+func (h *host) instant() Instant {
+	return Instant{Wall: h.now, Elapsed: h.now.Sub(base)}
+}
+
+func (h *host) node(partition dcid.Partition) *node {
+	if h.committers[partition] == nil {
+		config := DefaultCommitterConfig()
+		config.Partition = partition
+		config.Host = dcid.HostID(fmt.Sprint(h.id))
+		config.Incarnation = h.incarnation
+		config.Retention = testRetention
+		h.committers[partition] = &node{Committer: NewCommitter(config, h.random), waiting: map[Ticket]func(Result){}}
+	}
+	return h.committers[partition]
+}
+
+// submit gives work to this host's own committer.
+func (h *host) submit(partition dcid.Partition, work func(*node, Ticket) []Action, done func(Result)) {
+	target := h.node(partition)
+	target.last++
+	target.waiting[target.last] = done
+	h.perform(target, work(target, target.last))
+}
+
+func (h *host) perform(target *node, actions []Action) {
+	for _, action := range actions {
+		replied := func(reply StoreReply) {
+			h.deliver(h.latency(), func() { h.perform(target, target.StoreReplied(h.now, reply)) })
+		}
+		switch action := action.(type) {
+		case GetSegment:
+			h.after(h.latency(), func() {
+				h.storeCall(func() StoreReply { return h.get(action) }, action.Call, replied)
+			})
+		case SwapSegment:
+			h.after(h.latency(), func() {
+				h.storeCall(func() StoreReply { return h.swap(action) }, action.Call, replied)
+			})
+		case Answer:
+			done := target.waiting[action.Ticket]
+			delete(target.waiting, action.Ticket)
+			h.deliver(0, func() { done(action.Result) })
+		case WakeAt:
+			target.wakes++
+			wakes := target.wakes
+			h.deliver(action.At.Sub(h.now), func() {
+				if wakes == target.wakes {
+					h.perform(target, target.Tick(h.now))
+				}
+			})
+		}
+	}
+}
+
+// holder returns whom this host believes to hold a partition.
+func (h *host) holder(partition dcid.Partition) *host {
+	turn := int(partition)
+	if h.rotate > 0 {
+		turn += int((h.now.Sub(base) + h.lag) / h.rotate)
+	}
+	return h.hosts[turn%len(h.hosts)]
+}
+
+// route submits work to the holder, and to this host's own committer when the
+// holder refuses or does not answer in time.
+func (h *host) route(partition dcid.Partition, timeout time.Duration, work func(*node, Ticket) []Action, done func(Result)) {
+	holder := h.holder(partition)
+	if holder == h {
+		h.submit(partition, work, done)
+		return
+	}
+	finished := false
+	fallback := func(earlier Result) {
+		if finished {
+			return
+		}
+		finished = true
+		h.submit(partition, work, func(result Result) { done(result.After(earlier)) })
+	}
+	replied := func(result Result) {
+		if result.Code != dcreason.OK {
+			fallback(result)
+		} else if !finished {
+			finished = true
+			done(result)
+		}
+	}
+	arrive := func() {
+		holder.submit(partition, work, func(result Result) { h.deliver(h.latency(), func() { replied(result) }) })
+	}
+	if !h.chance(h.peerLost) {
+		delay := h.latency()
+		if h.chance(h.peerLate) {
+			delay += time.Duration(h.world.random.IntN(3000)) * time.Millisecond
+		}
+		holder.deliver(delay, arrive)
+		if h.chance(h.peerTwice) {
+			holder.deliver(delay+time.Duration(h.world.random.IntN(3000))*time.Millisecond, arrive)
+		}
+	}
+	h.deliver(timeout, func() { fallback(Result{MayExist: true}) })
+}
+
+// orderRun is one request of a caller on a host.
+type orderRun struct {
+	*Order
+	claimTime time.Time
+	operation string
+	wakes     int
+	answer    func(Respond)
+}
+
+func testOrderConfig() OrderConfig {
+	config := DefaultOrderConfig()
+	config.Retention = testRetention
+	config.Partitions = testPartitions
+	return config
+}
+
+// order sends an order to this host.
+func (h *host) order(key dcid.OrderKey, body string, answered func(Respond)) {
+	h.orders++
+	operation := fmt.Sprintf("operation-%d", h.orders)
+	spec := OrderSpec{
+		Request: dcid.RequestID(operation), Department: "bakery", Key: key, Group: "mill-orders", Service: "mill",
+		Schema: "1", Body: []byte(body), Deadline: h.now.Add(time.Second), Operation: dcid.OperationID(operation),
+		Host: dcid.HostID(fmt.Sprint(h.id)), Server: "192.0.2.1:80",
+	}
+	call := h.nextStamp()
+	// Until it is answered, the request may have run.
+	index := len(h.history)
+	h.addHistory(input{string(key), operation}, call, Respond{Outcome: dcreason.Unknown})
+	current := &orderRun{Order: NewOrder(testOrderConfig(), spec, h.random), operation: operation, claimTime: h.now}
+	current.answer = func(answer Respond) {
+		h.answered++
+		h.history[index].Output = answer
+		if answer.Outcome != dcreason.Unknown {
+			h.history[index].Return = h.nextStamp()
+		}
+		if answer.Outcome == dcreason.NotRun {
+			h.notRun[operation] = true
+		}
+		waited := h.now.Sub(current.claimTime)
+		if answer.Code == dcreason.StoreUnavailable && waited > 100*time.Millisecond && h.pause == 0 {
+			h.violate("%s waited %v for store-unavailable", operation, waited)
+		}
+		answered(answer)
+	}
+	h.deliver(0, func() { h.act(current, current.Start(h.instant())) })
+}
+
+func (h *host) act(current *orderRun, actions []OrderAction) {
+	incarnation := h.incarnation
+	for _, action := range actions {
+		name := strings.TrimPrefix(fmt.Sprintf("%T", action), "dcledger.")
+		matches := name == h.killAt
+		if matches {
+			h.world.killAt = ""
+		}
+		if matches && !h.killAfter || h.chance(h.world.faults.kill) {
+			h.kill()
+			return
+		}
+		h.actOne(current, action)
+		if matches {
+			h.kill()
+		}
+		if h.chance(h.pause) {
+			h.pausedUntil = h.now.Add(time.Duration(h.world.random.IntN(4000)) * time.Millisecond)
+		}
+		if h.incarnation != incarnation {
+			return
+		}
+	}
+}
+
+func (h *host) actOne(current *orderRun, action OrderAction) {
+	switch action := action.(type) {
+	case SubmitClaim:
+		work := func(n *node, ticket Ticket) []Action { return n.Claim(h.now, ticket, action.Entry) }
+		h.route(action.Partition, 40*time.Millisecond, work, func(result Result) {
+			if h.dispatchUndecided && result.Code != dcreason.OK && result.MayExist {
+				result = Result{Code: dcreason.OK, Entry: action.Entry}
+			}
+			h.act(current, current.Claimed(h.instant(), result))
+		})
+	case SubmitRecord:
+		if action.Entry.GetState() == ledgerv1.EntryState_ENTRY_STATE_NOT_RUN {
+			h.retired[current.operation] = true
+		}
+		work := func(n *node, ticket Ticket) []Action { return n.Record(h.now, ticket, action.Entry) }
+		h.route(action.Partition, 200*time.Millisecond, work, func(result Result) {
+			h.act(current, current.Recorded(h.instant(), result))
+		})
+	case Dispatch:
+		h.after(h.latency(), func() {
+			h.receive(action, func(outcome dcreason.Outcome, code dcreason.Code, body string) {
+				response := dcupstream.Response{Outcome: outcome, Code: code, Body: []byte(body)}
+				h.deliver(h.latency(), func() { h.act(current, current.Responded(h.instant(), response)) })
+			})
+		})
+	case AskUpstream:
+		h.ask(action, func(response dcupstream.Response) { h.act(current, current.Asked(h.instant(), response)) })
+	case Respond:
+		current.answer(action)
+	case WakeAt:
+		current.wakes++
+		wakes := current.wakes
+		h.deliver(action.At.Sub(h.now), func() {
+			if wakes == current.wakes {
+				h.act(current, current.Tick(h.instant()))
+			}
+		})
+	}
+}
+
+func (h *host) ask(action AskUpstream, replied func(dcupstream.Response)) {
+	response := dcupstream.Response{Outcome: dcreason.Unknown, Code: dcreason.OutcomeUnknown}
+	if runs := h.runs[string(action.Key)]; len(runs) > 0 && !h.chance(h.upstreamLost) {
+		response = dcupstream.Response{Outcome: dcreason.Ran, Code: dcreason.OK, Body: []byte(runs[0].operation)}
+	}
+	h.deliver(h.latency(), func() { replied(response) })
+}
+
+// lookup asks this host for the outcome of a key.
+func (h *host) lookup(key dcid.OrderKey) {
+	spec := LookupSpec{Department: "bakery", Group: "mill-orders", Key: key, Deadline: h.now.Add(time.Second)}
+	current := NewLookup(testOrderConfig(), spec)
+	call := h.nextStamp()
+	var act func([]OrderAction)
+	act = func(actions []OrderAction) {
+		for _, action := range actions {
+			switch action := action.(type) {
+			case SubmitLookup:
+				work := func(n *node, ticket Ticket) []Action {
+					return n.Lookup(h.now, ticket, action.Department, action.Key)
+				}
+				h.route(action.Partition, 40*time.Millisecond, work, func(result Result) { act(current.Read(h.now, result)) })
+			case SubmitRecord:
+				work := func(n *node, ticket Ticket) []Action { return n.Record(h.now, ticket, action.Entry) }
+				h.route(action.Partition, 200*time.Millisecond, work, func(result Result) { current.Recorded(h.now, result) })
+			case AskUpstream:
+				h.ask(action, func(response dcupstream.Response) { act(current.Asked(h.now, response)) })
+			case Respond:
+				h.checkLookup(string(key), call, action)
+				h.addHistory(input{key: string(key)}, call, action)
+			case WakeAt:
+				h.deliver(action.At.Sub(h.now), func() { act(current.Tick(h.now)) })
+			}
+		}
+	}
+	h.deliver(0, func() { act(current.Start(h.now)) })
+}
+
+// keyModel is a key that at most one operation runs; its result names the
+// operation. An unanswered or unknown request may have run or not.
+var keyModel = porcupine.NondeterministicModel{
+	Partition: partitionByKey,
+	Init:      func() []any { return []any{""} },
+	Step: func(state, in, out any) []any {
+		ran := state.(string)
+		request := in.(input)
+		answer := out.(Respond)
+		own := request.operation != "" && ran == ""
+		switch answer.Outcome {
+		case dcreason.Ran:
+			if string(answer.Body) == ran || own && string(answer.Body) == request.operation {
+				return []any{string(answer.Body)}
+			}
+			return nil
+		case dcreason.NotRun:
+			if request.operation == "" && ran != "" {
+				return nil
+			}
+		case dcreason.Unknown:
+			if own {
+				return []any{ran, request.operation}
+			}
+		}
+		return []any{ran}
+	},
+}
+
+func partitionByKey(history []porcupine.Operation) (parts [][]porcupine.Operation) {
+	index := map[string]int{}
+	for _, operation := range history {
+		key := operation.Input.(input).key
+		if _, ok := index[key]; !ok {
+			index[key] = len(parts)
+			parts = append(parts, nil)
+		}
+		// A lookup that learned nothing constrains nothing.
+		if operation.Input.(input).operation == "" && operation.Output.(Respond).Outcome == dcreason.Unknown {
+			continue
+		}
+		parts[index[key]] = append(parts[index[key]], operation)
+	}
+	return parts
+}
