Add the net/http upstream client

The tier must say not-run only with proof, and must never send an order twice. The client marks a request as written when net/http reports its headers written; everything before that is not-run, everything after it unknown unless the server says Not-Started: true. net/http repeats a POST with an Idempotency-Key on a reused connection when it can rewind the body or the body is empty, so every POST has a body without GetBody.

MaxConnsPerHost was ruled out because it is fixed for a transport: a resizable semaphore limits requests and another one open connections of each server.

--- /dev/null
+++ b/internal/dcupstream/client.go
@@ -0,0 +1,304 @@
+package dcupstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	upstreamv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/upstream/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+)
+
+// Headers between the tier and upstream servers.
+const (
+	HeaderRequestID      = "Request-Id"
+	HeaderIndexVersion   = "Index-Version"
+	HeaderMapEpoch       = "Map-Epoch"
+	HeaderSchemaVersion  = "Schema-Version"
+	HeaderDeadline       = "Deadline-Ms"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderAttempt        = "Attempt"
+	HeaderShard          = "Shard"
+	HeaderDepartment     = "Department"
+	HeaderNotStarted     = "Not-Started"
+	HeaderServerTiming   = "Server-Timing"
+)
+
+const (
+	defaultLimit        = 1
+	defaultMaxBodyBytes = 16 << 20
+	defaultDialTimeout  = 2 * time.Second
+	idleTimeout         = 60 * time.Second
+	statusBodyBytes     = 1 << 20
+	// maxIdlePerServer does not restrict anything: the server's share does.
+	maxIdlePerServer = 1 << 16
+)
+
+// Client is the net/http client of the upstream protocol. Set the exported
+// fields before the first call.
+type Client struct {
+	Clock clockwork.Clock
+	// MaxBodyBytes limits the answer of one request; 16 MiB when 0.
+	MaxBodyBytes int64
+	// DefaultLimit is the share of connections to a server for which SetLimit
+	// was not called; 1 when 0.
+	DefaultLimit int
+	// DialTimeout limits the time to open a connection; 2 s when 0.
+	DialTimeout time.Duration
+
+	once      sync.Once
+	dialer    net.Dialer
+	transport *http.Transport
+	servers   serverTable
+}
+
+var _ Upstream = (*Client)(nil)
+
+// Connections is the use of the share of one server.
+type Connections struct {
+	Open, Limit int
+	// Dials counts connections opened or refused since the start.
+	Dials int64
+}
+
+// SetLimit sets this host's share of the connections to a server. Connections
+// above a lower share close when their request ends, idle ones at once.
+func (c *Client) SetLimit(addr dcid.ServerAddr, limit int) {
+	c.server(addr).setLimit(limit)
+}
+
+// Connections returns the use of a server's share.
+func (c *Client) Connections(addr dcid.ServerAddr) Connections {
+	target := c.server(addr)
+	open, limit := target.connections.state()
+	return Connections{Open: open, Limit: limit, Dials: target.dials.Load()}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.roundTripper().CloseIdleConnections()
+}
+
+// Search implements Upstream.
+func (c *Client) Search(ctx context.Context, search Search) Response {
+	ctx, cancel := clockwork.WithDeadline(ctx, c.Clock, search.Deadline)
+	defer cancel()
+	path := "/v1/shards/" + url.PathEscape(string(search.Label.Shard)) + "/search"
+	header := c.header(search.Label.Request, search.Schema, search.Label.Attempt)
+	header.Set(HeaderIndexVersion, string(search.Label.Version))
+	header.Set(HeaderMapEpoch, strconv.FormatUint(uint64(search.Label.Epoch), 10))
+	call := call{server: search.Server, method: http.MethodPost, path: path, header: header, body: search.Body, deadline: search.Deadline}
+	return c.send(ctx, call, func(answer *http.Response, response *Response) bool {
+		response.Label = readLabel(answer.Header, search.Label.Service)
+		return response.Label == search.Label
+	})
+}
+
+// Order implements Upstream.
+func (c *Client) Order(ctx context.Context, order Order) Response {
+	header := c.header(order.Request, order.Schema, order.Attempt)
+	header.Set(HeaderIdempotencyKey, string(order.Key))
+	header.Set(HeaderDepartment, string(order.Department))
+	call := call{server: order.Server, method: http.MethodPost, path: "/v1/orders", header: header, body: order.Body, deadline: order.Deadline}
+	return c.send(ctx, call, func(answer *http.Response, _ *Response) bool {
+		return answer.Header.Get(HeaderRequestID) == string(order.Request) &&
+			matchesWhenPresent(answer.Header.Get(HeaderIdempotencyKey), string(order.Key)) &&
+			matchesWhenPresent(answer.Header.Get(HeaderAttempt), strconv.FormatUint(uint64(order.Attempt), 10))
+	})
+}
+
+// OrderOutcome implements Upstream.
+func (c *Client) OrderOutcome(ctx context.Context, addr dcid.ServerAddr, department dcid.Department, key dcid.OrderKey) Response {
+	header := http.Header{}
+	header.Set(HeaderDepartment, string(department))
+	call := call{server: addr, method: http.MethodGet, path: "/v1/orders/" + url.PathEscape(string(key)), header: header}
+	response := c.send(ctx, call, func(answer *http.Response, _ *Response) bool {
+		return matchesWhenPresent(answer.Header.Get(HeaderIdempotencyKey), string(key))
+	})
+	if response.Outcome != dcreason.Ran {
+		response.Outcome = dcreason.Unknown
+	}
+	return response
+}
+
+// Status implements Upstream.
+func (c *Client) Status(ctx context.Context, addr dcid.ServerAddr) (status *upstreamv1.Status, err error) {
+	defer func() { err = eris.Wrapf(err, "read the status of %s", addr) }()
+	target := c.server(addr)
+	if err := target.requests.acquire(ctx); err != nil {
+		return nil, err
+	}
+	defer target.requests.release()
+	exchange := exchange{server: target}
+	request, err := http.NewRequestWithContext(exchange.trace(ctx), http.MethodGet, "http://"+string(addr)+"/v1/status", nil)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := c.roundTripper().RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(answer.Body, statusBodyBytes))
+	if err != nil {
+		return nil, err
+	}
+	if answer.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("server answered %s", answer.Status)
+	}
+	status = &upstreamv1.Status{}
+	return status, protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(content, status)
+}
+
+// call is one HTTP request to a server.
+type call struct {
+	server   dcid.ServerAddr
+	method   string
+	path     string
+	header   http.Header
+	body     []byte
+	deadline time.Time
+}
+
+// send transmits the call at most once and classifies what came of it. The
+// labelled function checks the labels of a successful answer.
+func (c *Client) send(ctx context.Context, call call, labelled func(*http.Response, *Response) bool) (response Response) {
+	response.QueueTime = -1
+	target := c.server(call.server)
+	if err := target.requests.acquire(ctx); err != nil {
+		response.Outcome, response.Code = dcreason.NotRun, contextCode(err)
+		return response
+	}
+	defer target.requests.release()
+	if !call.deadline.IsZero() {
+		remaining := call.deadline.Sub(c.Clock.Now())
+		if remaining <= 0 {
+			response.Outcome, response.Code = dcreason.NotRun, dcreason.DeadlineExceeded
+			return response
+		}
+		call.header.Set(HeaderDeadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
+	}
+	exchange := exchange{server: target}
+	request, err := newRequest(exchange.trace(ctx), call)
+	if err != nil {
+		response.Outcome, response.Code = dcreason.NotRun, dcreason.Internal
+		return response
+	}
+	request.Close = target.aboveLimit()
+	answer, err := c.roundTripper().RoundTrip(request)
+	response.Connect = exchange.dialled.Load()
+	if err != nil {
+		response.Outcome, response.Code = exchange.classify(ctx, err)
+		return response
+	}
+	defer answer.Body.Close()
+	c.read(ctx, answer, &exchange, &response, labelled)
+	return response
+}
+
+func (c *Client) read(ctx context.Context, answer *http.Response, exchange *exchange, response *Response, labelled func(*http.Response, *Response) bool) {
+	response.QueueTime = queueTime(answer.Header)
+	limit := c.maxBodyBytes()
+	content, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
+	switch {
+	case err != nil:
+		response.Outcome, response.Code = exchange.classify(ctx, err)
+	case answer.StatusCode != http.StatusOK:
+		response.Outcome, response.Code = classifyStatus(answer)
+	case int64(len(content)) > limit || !labelled(answer, response):
+		response.Outcome, response.Code = dcreason.Unknown, dcreason.UpstreamMalformed
+	default:
+		response.Outcome, response.Code, response.Body = dcreason.Ran, dcreason.OK, content
+	}
+}
+
+// newRequest builds the request without GetBody and with a body that is never
+// http.NoBody. net/http treats a POST with an Idempotency-Key header as safe to
+// send again on a reused connection if it can rewind the body, or has none.
+func newRequest(ctx context.Context, call call) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, call.method, "http://"+string(call.server)+call.path, nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header = call.header
+	if call.method == http.MethodPost {
+		request.Body = io.NopCloser(bytes.NewReader(call.body))
+		request.ContentLength = int64(len(call.body))
+		request.Header.Set("Content-Type", "application/octet-stream")
+	}
+	return request, nil
+}
+
+// exchange records how far one transmission came.
+type exchange struct {
+	server   *server
+	conn     atomic.Pointer[net.Conn]
+	dialled  atomic.Bool
+	written  atomic.Bool
+	answered atomic.Bool
+}
+
+func (e *exchange) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			e.conn.Store(&info.Conn)
+			e.dialled.Store(!info.Reused)
+			e.server.mark(info.Conn, false)
+		},
+		PutIdleConn: func(err error) {
+			if conn := e.conn.Load(); conn != nil && err == nil {
+				e.server.mark(*conn, true)
+			}
+		},
+		WroteHeaders:         func() { e.written.Store(true) },
+		GotFirstResponseByte: func() { e.answered.Store(true) },
+	})
+}
+
+func (c *Client) header(request dcid.RequestID, schema dcid.SchemaVersion, attempt dcid.Attempt) http.Header {
+	header := http.Header{}
+	header.Set(HeaderRequestID, string(request))
+	header.Set(HeaderSchemaVersion, string(schema))
+	header.Set(HeaderAttempt, strconv.FormatUint(uint64(attempt), 10))
+	return header
+}
+
+func (c *Client) server(addr dcid.ServerAddr) *server {
+	return c.servers.get(addr, positive(c.DefaultLimit, defaultLimit))
+}
+
+func (c *Client) maxBodyBytes() int64        { return positive(c.MaxBodyBytes, defaultMaxBodyBytes) }
+func (c *Client) dialTimeout() time.Duration { return positive(c.DialTimeout, defaultDialTimeout) }
+
+func positive[T int | int64 | time.Duration](value, otherwise T) T {
+	if value > 0 {
+		return value
+	}
+	return otherwise
+}
+
+func (c *Client) roundTripper() *http.Transport {
+	c.once.Do(func() {
+		c.transport = &http.Transport{
+			DialContext:         c.dial,
+			MaxIdleConnsPerHost: maxIdlePerServer,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		}
+	})
+	return c.transport
+}
--- /dev/null
+++ b/internal/dcupstream/client_test.go
@@ -0,0 +1,290 @@
+package dcupstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/goleak"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func start(t *testing.T, handler http.HandlerFunc) dcid.ServerAddr {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return dcid.ServerAddr(server.Listener.Addr().String())
+}
+
+func newClient(t *testing.T) *Client {
+	t.Helper()
+	client := &Client{Clock: clockwork.NewFakeClock(), DefaultLimit: 4, MaxBodyBytes: 8}
+	t.Cleanup(client.Close)
+	return client
+}
+
+func search(client *Client, server dcid.ServerAddr) Search {
+	label := Label{Request: "r1", Service: "s", Shard: "shard 1/2", Version: "v7", Epoch: 3, Attempt: 2}
+	return Search{Server: server, Label: label, Schema: "1", Deadline: client.Clock.Now().Add(250 * time.Millisecond), Body: []byte("q")}
+}
+
+func echo(writer http.ResponseWriter, request *http.Request) {
+	for _, name := range []string{HeaderRequestID, HeaderIndexVersion, HeaderMapEpoch, HeaderAttempt} {
+		writer.Header().Set(name, request.Header.Get(name))
+	}
+	writer.Header().Set(HeaderShard, request.PathValue("shard"))
+}
+
+func hijack(writer http.ResponseWriter, answer string) {
+	conn, _, err := writer.(http.Hijacker).Hijack()
+	if err == nil {
+		_, _ = io.WriteString(conn, answer)
+		_ = conn.Close()
+	}
+}
+
+// Guards against a wrong outcome: a crash that is reported as not-run would be
+// sent again, and a mislabelled answer would be merged.
+func TestSearchClassification(t *testing.T) {
+	const truncated = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab"
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		outcome dcreason.Outcome
+		code    dcreason.Code
+		body    string
+	}{
+		{"answer", func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, "hit") }, dcreason.Ran, dcreason.OK, "hit"},
+		{"other version", func(w http.ResponseWriter, r *http.Request) { w.Header().Set(HeaderIndexVersion, "v8") }, dcreason.Unknown, dcreason.UpstreamMalformed, ""},
+		{"other request", func(w http.ResponseWriter, r *http.Request) { w.Header().Set(HeaderRequestID, "r2") }, dcreason.Unknown, dcreason.UpstreamMalformed, ""},
+		{"no attempt", func(w http.ResponseWriter, r *http.Request) { w.Header().Del(HeaderAttempt) }, dcreason.Unknown, dcreason.UpstreamMalformed, ""},
+		{"body too long", func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, "123456789") }, dcreason.Unknown, dcreason.UpstreamMalformed, ""},
+		{"shed", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(HeaderNotStarted, "true")
+			w.WriteHeader(503)
+		}, dcreason.NotRun, dcreason.UpstreamShed, ""},
+		{"draining", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(HeaderNotStarted, "true")
+			w.Header().Set(HeaderState, "draining")
+			w.WriteHeader(503)
+		}, dcreason.NotRun, dcreason.UpstreamDraining, ""},
+		{"503 without proof", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(503) }, dcreason.Unknown, dcreason.UpstreamError, ""},
+		{"conflict", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(409) }, dcreason.Unknown, dcreason.VersionGone, ""},
+		{"gone", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(410) }, dcreason.Unknown, dcreason.ShardGone, ""},
+		{"error", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(500) }, dcreason.Unknown, dcreason.UpstreamError, ""},
+		{"crash", func(w http.ResponseWriter, r *http.Request) { hijack(w, "") }, dcreason.Unknown, dcreason.UpstreamCrashed, ""},
+		{"crash in the answer", func(w http.ResponseWriter, r *http.Request) { hijack(w, truncated) }, dcreason.Unknown, dcreason.UpstreamCrashed, ""},
+		{"not HTTP", func(w http.ResponseWriter, r *http.Request) { hijack(w, "garbage\r\n\r\n") }, dcreason.Unknown, dcreason.UpstreamMalformed, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			mux := http.NewServeMux()
+			mux.HandleFunc("POST /v1/shards/{shard}/search", func(w http.ResponseWriter, r *http.Request) {
+				if got := r.Header.Get(HeaderDeadline); got != "250" {
+					t.Errorf("%s: %q, want the remaining time", HeaderDeadline, got)
+				}
+				echo(w, r)
+				c.handler(w, r)
+			})
+			client := newClient(t)
+			got := client.Search(t.Context(), search(client, start(t, mux.ServeHTTP)))
+			if got.Outcome != c.outcome || got.Code != c.code || string(got.Body) != c.body || !got.Connect {
+				t.Errorf("got %s %s %q connect %t, want %s %s %q", got.Outcome, got.Code, got.Body, got.Connect, c.outcome, c.code, c.body)
+			}
+		})
+	}
+}
+
+// Guards against a not-run without proof, and against an unsent request that
+// is reported as unknown.
+func TestUnsent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := dcid.ServerAddr(listener.Addr().String())
+	_ = listener.Close()
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	cases := []struct {
+		name  string
+		ctx   context.Context
+		limit int
+		late  time.Duration
+		code  dcreason.Code
+	}{
+		{"refused", t.Context(), 1, 0, dcreason.ConnectionRefused},
+		{"cancelled while waiting for the share", cancelled, 0, 0, dcreason.Cancelled},
+		{"late", t.Context(), 1, time.Second, dcreason.DeadlineExceeded},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			client := newClient(t)
+			client.SetLimit(closed, c.limit)
+			order := Order{Server: closed, Request: "r1", Key: "k", Deadline: client.Clock.Now().Add(time.Millisecond - c.late)}
+			if got := client.Order(c.ctx, order); got.Outcome != dcreason.NotRun || got.Code != c.code {
+				t.Errorf("got %s %s, want not-run %s", got.Outcome, got.Code, c.code)
+			}
+			if got := client.Connections(closed); got.Open != 0 {
+				t.Errorf("%d connections counted as open", got.Open)
+			}
+		})
+	}
+}
+
+// Guards against net/http sending an order again: on a reused connection it
+// repeats requests with an Idempotency-Key whose body is empty or rewindable.
+func TestOrderIsNotResent(t *testing.T) {
+	for _, body := range []string{"", "flour"} {
+		t.Run("body "+body, func(t *testing.T) {
+			received := make(chan string, 8)
+			addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+				received <- r.Header.Get(HeaderIdempotencyKey)
+				if r.Header.Get(HeaderIdempotencyKey) == "second" {
+					hijack(w, "")
+					return
+				}
+				echo(w, r)
+			})
+			client := newClient(t)
+			order := Order{Server: addr, Request: "r1", Key: "first", Attempt: 1, Body: []byte(body), Deadline: client.Clock.Now().Add(time.Second)}
+			if got := client.Order(t.Context(), order); got.Outcome != dcreason.Ran {
+				t.Fatalf("first order: %s %s", got.Outcome, got.Code)
+			}
+			order.Key = "second"
+			got := client.Order(t.Context(), order)
+			if got.Outcome != dcreason.Unknown || got.Code != dcreason.UpstreamCrashed || got.Connect {
+				t.Errorf("got %s %s connect %t, want unknown upstream-crashed on the reused connection", got.Outcome, got.Code, got.Connect)
+			}
+			if len(received) != 2 {
+				t.Errorf("server received %d orders, want 2", len(received))
+			}
+		})
+	}
+}
+
+// Guards against exceeding the share: a third request must wait until the
+// share is raised, and a lower share must close idle connections.
+func TestConnectionShare(t *testing.T) {
+	entered, leave := make(chan struct{}), make(chan struct{})
+	addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		entered <- struct{}{}
+		<-leave
+		echo(w, r)
+	})
+	client := newClient(t)
+	client.SetLimit(addr, 2)
+	done := make(chan Response, 3)
+	for range 3 {
+		go func() {
+			order := Order{Server: addr, Request: "r1", Key: "k", Attempt: 1, Deadline: client.Clock.Now().Add(time.Second)}
+			done <- client.Order(context.Background(), order)
+		}()
+	}
+	<-entered
+	<-entered
+	want := Connections{Open: 2, Limit: 2, Dials: 2}
+	if diff := cmp.Diff(want, client.Connections(addr)); diff != "" {
+		t.Error(diff)
+	}
+	client.SetLimit(addr, 3)
+	<-entered
+	close(leave)
+	for range 3 {
+		if got := <-done; got.Outcome != dcreason.Ran {
+			t.Errorf("got %s %s", got.Outcome, got.Code)
+		}
+	}
+	client.SetLimit(addr, 1)
+	want = Connections{Open: 1, Limit: 1, Dials: 3}
+	if diff := cmp.Diff(want, client.Connections(addr)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a loser of a hedge that keeps running at the server.
+func TestCancelReachesServer(t *testing.T) {
+	entered, gone := make(chan struct{}), make(chan struct{})
+	addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		close(entered)
+		<-r.Context().Done()
+		close(gone)
+	})
+	client := newClient(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-entered; cancel() }()
+	got := client.Search(ctx, search(client, addr))
+	if got.Outcome != dcreason.Unknown || got.Code != dcreason.Cancelled {
+		t.Errorf("got %s %s", got.Outcome, got.Code)
+	}
+	<-gone
+}
+
+// Guards against a queue time read from another metric or a malformed header.
+func TestQueueTime(t *testing.T) {
+	cases := map[string]time.Duration{
+		"queue;dur=1.5, run;dur=2":                  1500 * time.Microsecond,
+		`run;dur=2, queue;desc="waiting";dur="0.5"`: 500 * time.Microsecond,
+		"run;dur=2":      -1,
+		"queue;dur=-2":   -1,
+		"queue;dur=soon": -1,
+		"queue":          -1,
+		"":               -1,
+	}
+	for header, want := range cases {
+		if got := queueTime(http.Header{HeaderServerTiming: {header}}); got != want {
+			t.Errorf("%q: %s, want %s", header, got, want)
+		}
+	}
+}
+
+// Guards against a status reader that trusts the length a server sends.
+func TestStatus(t *testing.T) {
+	addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, `{"state":"serving","maps":[{"epoch":2,"total-shards":1,"shards":[{"shard":"a","versions":["v1"]}]}],"new":1}`)
+	})
+	status, err := newClient(t).Status(t.Context(), addr)
+	if err != nil || status.GetState() != "serving" || status.GetMaps()[0].GetShards()[0].GetVersions()[0] != "v1" {
+		t.Errorf("got %v, %v", status, err)
+	}
+}
+
+// Guards against a request that is counted as sent on a connection that the
+// server resets at once: the answer line never arrives.
+func TestCrashWithoutAnswer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}()
+	client := newClient(t)
+	got := client.Search(t.Context(), search(client, dcid.ServerAddr(listener.Addr().String())))
+	if got.Outcome != dcreason.Unknown || got.Code != dcreason.UpstreamCrashed {
+		t.Errorf("got %s %s, want unknown upstream-crashed", got.Outcome, got.Code)
+	}
+	if strings.Contains(string(got.Body), "q") {
+		t.Error("body set without an answer")
+	}
+}
--- /dev/null
+++ b/internal/dcupstream/connection.go
@@ -0,0 +1,135 @@
+package dcupstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+)
+
+const serverShards = 64
+
+// server holds the limits and connections of one upstream server.
+type server struct {
+	requests    limiter
+	connections limiter
+	dials       atomic.Int64
+
+	mu   sync.Mutex
+	open map[*connection]bool // true while idle
+}
+
+// connection gives its permit back once when it is closed.
+type connection struct {
+	net.Conn
+	server *server
+	once   sync.Once
+}
+
+// Close closes the connection and returns its permit.
+func (c *connection) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(func() {
+		c.server.mu.Lock()
+		delete(c.server.open, c)
+		c.server.mu.Unlock()
+		c.server.connections.release()
+	})
+	return err
+}
+
+func (s *server) mark(conn net.Conn, idle bool) {
+	tracked, ok := conn.(*connection)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, open := s.open[tracked]; open {
+		s.open[tracked] = idle
+	}
+}
+
+// setLimit changes the share of connections and closes idle connections above
+// it. A request that picks a connection while it is closed has written nothing
+// and fails with that proof.
+func (s *server) setLimit(limit int) {
+	s.requests.setLimit(limit)
+	s.connections.setLimit(limit)
+	for _, conn := range s.idleAbove(limit) {
+		_ = conn.Close()
+	}
+}
+
+func (s *server) idleAbove(limit int) (excess []*connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	surplus := len(s.open) - limit
+	for conn, idle := range s.open {
+		if len(excess) >= surplus {
+			break
+		}
+		if idle {
+			excess = append(excess, conn)
+		}
+	}
+	return excess
+}
+
+// aboveLimit reports whether more connections are open than the share allows,
+// so that the next request closes its connection when it ends.
+func (s *server) aboveLimit() bool {
+	used, limit := s.connections.state()
+	return used > limit
+}
+
+type serverShard struct {
+	mu      sync.Mutex
+	servers map[dcid.ServerAddr]*server
+}
+
+type serverTable [serverShards]serverShard
+
+// get returns the state of a server and creates it with the given limit.
+func (t *serverTable) get(addr dcid.ServerAddr, limit int) *server {
+	shard := &t[xxhash.Sum64String(string(addr))%serverShards]
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if found, ok := shard.servers[addr]; ok {
+		return found
+	}
+	if shard.servers == nil {
+		shard.servers = map[dcid.ServerAddr]*server{}
+	}
+	created := &server{open: map[*connection]bool{}}
+	created.requests.limit = limit
+	created.connections.limit = limit
+	shard.servers[addr] = created
+	return created
+}
+
+// dial opens a counted connection within the server's share. It waits while
+// the share is used up by connections that are about to close.
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	target := c.server(dcid.ServerAddr(address))
+	ctx, cancel := context.WithTimeout(ctx, c.dialTimeout())
+	defer cancel()
+	if err := target.connections.acquire(ctx); err != nil {
+		return nil, err
+	}
+	target.dials.Add(1)
+	raw, err := c.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		target.connections.release()
+		return nil, err
+	}
+	tracked := &connection{Conn: raw, server: target}
+	target.mu.Lock()
+	target.open[tracked] = false
+	target.mu.Unlock()
+	return tracked, nil
+}
