Add the host shell: caller API, loops, query and order runners

Wires the decision packages to timers, sockets and the store. Every group, server, ledger partition and digest shard has its own lock; lock order is configuration, group, then the leaves (servers, members, digests). Timeouts use a context cancelled by the clock: the Err method of clockwork's fake contexts waits for the end of the context, which blocked net/http.

Compiles; not run yet.

--- /dev/null
+++ b/internal/dchost/apiconfig.go
@@ -0,0 +1,145 @@
+package dchost
+
+import (
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcconfig"
+	"github.com/dandelioncart/dandelioncart/internal/dcdrain"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	"github.com/dandelioncart/dandelioncart/internal/dcstore"
+)
+
+// applyTimeout bounds a proposal when the caller names no deadline.
+const applyTimeout = 10 * time.Second
+
+func serveApply(c *call) (proto.Message, decision) {
+	result := c.applyCall()
+	answer := result.Response()
+	d := decision{outcome: result.Outcome, code: result.Code, message: result.Message}
+	c.view = c.Host.view.Load()
+	answer.Result = c.result(d)
+	return answer, d
+}
+
+func (c *call) applyCall() *dcconfig.Result {
+	ctx, cancel := timeout(c.request.Context(), c.Clock, applyTimeout)
+	defer cancel()
+	bootstrap, d := c.authenticateApply(ctx)
+	if !d.ok() {
+		return refusedApply(d)
+	}
+	if code := c.drain.admit(dcdrain.Order); code != dcreason.OK {
+		return refusedApply(refuse(code, "host is stopping"))
+	}
+	text, d := c.body(maxDocumentBytes)
+	if !d.ok() {
+		return refusedApply(d)
+	}
+	request, d := parseApply(text)
+	if !d.ok() {
+		return refusedApply(d)
+	}
+	if bootstrap && request.GetBaseRevision() != 0 {
+		return refusedApply(refuse(dcreason.ConfigConflict, "no revision is in force; use base revision 0"))
+	}
+	return c.applyProposal(ctx, dcconfig.Proposal{Author: c.department, Request: request})
+}
+
+func refusedApply(d decision) *dcconfig.Result {
+	return &dcconfig.Result{Outcome: d.outcome, Code: d.code, Message: d.message}
+}
+
+func serveRevision(c *call) (proto.Message, decision) {
+	answer := &callerv1.ConfigResponse{}
+	d := c.revision(answer)
+	answer.Result = c.result(d)
+	return answer, d
+}
+
+// revision answers the revision in force without the store.
+func (c *call) revision(answer *callerv1.ConfigResponse) decision {
+	if d := c.authenticate(); !d.ok() {
+		return d
+	}
+	wanted, d := parseRevision(c.request.PathValue("revision"))
+	if !d.ok() {
+		return d
+	}
+	accepted := c.view.accepted
+	if wanted != 0 && wanted != accepted.Revision {
+		record, err := c.Store.Get(c.request.Context(), dcconfig.Key(wanted))
+		if errors.Is(err, dcstore.ErrNotFound) {
+			return refuse(dcreason.KeyUnknown, "revision does not exist")
+		}
+		if err != nil {
+			return refuse(dcreason.StoreUnavailable, "store cannot be read")
+		}
+		if accepted, err = dcconfig.Decode(record.Value); err != nil {
+			return refuse(dcreason.Internal, "revision is damaged in the store")
+		}
+	}
+	answer.Revision = dcconfig.Info(accepted.Record)
+	answer.Document = accepted.Record.GetDocument()
+	return ran
+}
+
+func serveHistory(c *call) (proto.Message, decision) {
+	answer := &callerv1.HistoryResponse{}
+	d := c.history(answer)
+	answer.Result = c.result(d)
+	return answer, d
+}
+
+func (c *call) history(answer *callerv1.HistoryResponse) decision {
+	if d := c.authenticate(); !d.ok() {
+		return d
+	}
+	limit, d := parseLimit(c.request.URL.Query().Get("limit"))
+	if !d.ok() {
+		return d
+	}
+	records, err := c.Store.List(c.request.Context(), dcconfig.Prefix, limit, true)
+	if err != nil {
+		return refuse(dcreason.StoreUnavailable, "store cannot be read")
+	}
+	for _, record := range records {
+		accepted, err := dcconfig.Decode(record.Value)
+		if err != nil {
+			return refuse(dcreason.Internal, "a revision is damaged in the store")
+		}
+		answer.Revisions = append(answer.Revisions, dcconfig.Info(accepted.Record))
+	}
+	return ran
+}
+
+func serveStatus(c *call) (proto.Message, decision) {
+	answer := &callerv1.StatusResponse{}
+	d := c.authenticate()
+	if d.ok() {
+		answer = c.configStatus()
+	}
+	answer.Result = c.result(d)
+	return answer, d
+}
+
+// administrator reports whether the caller may see every department.
+func (c *call) administrator() bool {
+	return c.view.department(c.department).GetAdministrator()
+}
+
+// visible returns the departments whose counters the caller may see.
+func (c *call) visible() (departments []dcid.Department) {
+	if !c.administrator() {
+		return []dcid.Department{c.department}
+	}
+	for _, department := range c.view.configuration().GetDepartments() {
+		departments = append(departments, dcid.Department(department.GetName()))
+	}
+	return departments
+}
--- /dev/null
+++ b/internal/dchost/config.go
@@ -0,0 +1,208 @@
+package dchost
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+	peerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/peer/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcconfig"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcmembership"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	"github.com/dandelioncart/dandelioncart/internal/dcstore"
+)
+
+const (
+	// watchPeriod bounds one wait on the store, after which the newest revision
+	// is read again and confirms freshness.
+	watchPeriod = 30 * time.Second
+	// watchRetry is the pause after a failed store call, and between looks at
+	// whether this host watches.
+	watchRetry   = 500 * time.Millisecond
+	fetchTimeout = time.Second
+)
+
+type configState struct {
+	mu      sync.Mutex
+	adopter *dcconfig.Adopter
+	// seen is the modification revision of the newest record read.
+	seen dcstore.Revision
+}
+
+// watchConfiguration waits on the store while this host is one of the watchers
+// of its failure domain, or has no configuration yet.
+func (h *Host) watchConfiguration(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !h.watches() || !h.readConfiguration(ctx) || !h.awaitRevision(ctx) {
+			h.pause(ctx, h.jitter(watchRetry))
+		}
+	}
+	return nil
+}
+
+func (h *Host) watches() bool {
+	if h.view.Load().accepted == nil {
+		return true
+	}
+	var members []dcconfig.Member
+	for _, host := range h.members.hosts() {
+		if host.State == dcmembership.Alive {
+			members = append(members, dcconfig.Member{Host: host.ID, FailureDomain: host.Domain})
+		}
+	}
+	return dcconfig.Watches(h.self.ID, members)
+}
+
+func (h *Host) readConfiguration(ctx context.Context) bool {
+	records, err := h.Store.List(ctx, dcconfig.Prefix, 1, true)
+	if err != nil {
+		return false
+	}
+	h.config.mu.Lock()
+	defer h.config.mu.Unlock()
+	for _, record := range records {
+		h.config.seen = max(h.config.seen, record.Modified)
+	}
+	adopted, err := h.config.adopter.OfferStore(records, h.wall())
+	h.adopted(adopted, err, "store")
+	return true
+}
+
+// awaitRevision returns true when the newest revision should be read again.
+func (h *Host) awaitRevision(ctx context.Context) bool {
+	h.config.mu.Lock()
+	seen := h.config.seen
+	h.config.mu.Unlock()
+	wait, cancel := timeout(ctx, h.Clock, watchPeriod)
+	defer cancel()
+	_, err := h.Store.Wait(wait, dcconfig.Prefix, seen)
+	return err == nil || context.Cause(wait) == context.DeadlineExceeded
+}
+
+// adopted puts the revision of the adopter in force. The lock is held.
+func (h *Host) adopted(adopted bool, err error, source string) {
+	if err != nil {
+		h.Log.Error("configuration is not adopted", zap.String("source", source), zap.Error(err))
+	}
+	if !adopted {
+		return
+	}
+	accepted := h.config.adopter.InForce()
+	h.auth.Adopt(accepted.Revision, accepted.Configuration.GetDepartments())
+	h.view.Store(h.nextView(accepted))
+	h.seats.setCount(int(accepted.Configuration.GetEntryHosts()))
+	h.members.setRevision(accepted.Revision)
+	h.meter.adoptions.Inc(1)
+	h.meter.revision.Update(float64(accepted.Revision))
+	h.Log.Info("configuration in force", zap.Uint32("revision", uint32(accepted.Revision)), zap.String("source", source))
+}
+
+// heardRevision takes the revision in a peer's heartbeat, and fetches it when
+// it is newer.
+func (h *Host) heardRevision(member *peerv1.Member) {
+	peer, revision := dcid.HostID(member.GetHostId()), dcid.Revision(member.GetRevision())
+	h.config.mu.Lock()
+	fetch := h.config.adopter.Heard(peer, revision, h.wall())
+	h.config.mu.Unlock()
+	if !fetch {
+		return
+	}
+	address := member.GetPeerAddress()
+	h.tasks.Go(func() { h.fetchConfiguration(peer, address) })
+}
+
+func (h *Host) fetchConfiguration(peer dcid.HostID, address string) {
+	ctx, cancel := timeout(h.life, h.Clock, fetchTimeout)
+	defer cancel()
+	response, err := h.Peer.FetchConfig(ctx, address, &peerv1.FetchConfigRequest{})
+	h.config.mu.Lock()
+	defer h.config.mu.Unlock()
+	if err != nil || response.GetRevision() == nil {
+		h.config.adopter.FetchFailed(peer)
+		return
+	}
+	adopted, err := h.config.adopter.OfferPeer(peer, response.GetRevision(), h.wall())
+	h.adopted(adopted, err, string(peer))
+}
+
+// serveCode applies the stale-configuration rule of a group.
+func (h *Host) serveCode(name dcid.GroupName) dcreason.Code {
+	h.config.mu.Lock()
+	defer h.config.mu.Unlock()
+	return h.config.adopter.Serve(name, h.wall())
+}
+
+// applyProposal runs a proposal over the store. One runs at a time on a host.
+func (h *Host) applyProposal(ctx context.Context, proposal dcconfig.Proposal) *dcconfig.Result {
+	h.apply.Lock()
+	defer h.apply.Unlock()
+	h.config.mu.Lock()
+	known := h.config.adopter.Known()
+	h.config.mu.Unlock()
+	application, step := dcconfig.NewApplication(proposal, known)
+	for step.Done == nil {
+		step = h.applyStep(ctx, application, step)
+	}
+	if step.Done.Accepted != nil {
+		h.config.mu.Lock()
+		adopted, err := h.config.adopter.OfferOwn(step.Done.Accepted, h.wall())
+		h.adopted(adopted, err, "application")
+		h.config.mu.Unlock()
+		h.tasks.Go(func() { h.pruneConfiguration(step.Done.Revision) })
+	}
+	return step.Done
+}
+
+func (h *Host) applyStep(ctx context.Context, application *dcconfig.Application, step dcconfig.Step) dcconfig.Step {
+	switch {
+	case step.List:
+		records, err := h.Store.List(ctx, dcconfig.Prefix, 1, true)
+		return application.Listed(records, err, h.wall())
+	case step.Get != "":
+		record, err := h.Store.Get(ctx, step.Get)
+		return application.Got(record, err)
+	default:
+		_, err := h.Store.CompareAndSwap(ctx, *step.Swap)
+		return application.Swapped(err)
+	}
+}
+
+func (h *Host) pruneConfiguration(newest dcid.Revision) {
+	oldest, err := h.Store.List(h.life, dcconfig.Prefix, dcconfig.PruneLimit, false)
+	if err != nil {
+		return
+	}
+	for _, record := range dcconfig.Prune(newest, oldest) {
+		_ = h.Store.Delete(h.life, record.Key, record.Modified)
+	}
+}
+
+// configStatus lists the hosts with their revisions.
+func (h *Host) configStatus() *callerv1.StatusResponse {
+	now := h.wall()
+	var views []dcconfig.HostView
+	var expected []dcid.HostID
+	for _, host := range h.members.hosts() {
+		heard := host.Heard
+		if host.ID == h.self.ID {
+			heard = now
+		}
+		expected = append(expected, host.ID)
+		views = append(views, dcconfig.HostView{
+			Host:          host.ID,
+			FailureDomain: host.Domain,
+			State:         string(host.State),
+			Revision:      host.Revision,
+			Heard:         heard,
+		})
+	}
+	h.config.mu.Lock()
+	latest := h.config.adopter.Known()
+	h.config.mu.Unlock()
+	return dcconfig.Status(latest, views, expected, now)
+}
--- /dev/null
+++ b/internal/dchost/counters.go
@@ -0,0 +1,84 @@
+package dchost
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	peerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/peer/v1"
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcburn"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcsettings"
+)
+
+type counterState struct {
+	mu       sync.Mutex
+	counters *dcburn.Counters
+}
+
+func (s *counterState) count(sample dcburn.Sample, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counters.Count(sample, now)
+}
+
+func (s *counterState) close(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counters.Close(now)
+}
+
+func (s *counterState) setReplicas(peers []dcid.HostID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counters.SetReplicas(peers)
+}
+
+func (s *counterState) pending(peer dcid.HostID, now time.Time) []*peerv1.CounterRow {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counters.Pending(peer, counterBytes, now)
+}
+
+func (s *counterState) acknowledge(peer dcid.HostID, rows []*peerv1.CounterRow) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counters.Acknowledge(peer, rows)
+}
+
+func (s *counterState) merge(rows []*peerv1.CounterRow, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counters.Merge(rows, now)
+}
+
+func (s *counterState) rows(from, until time.Time) []*peerv1.CounterRow {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counters.Rows(from, until)
+}
+
+// objectiveKey names an objective in counters and reports.
+func objectiveKey(objective *settingsv1.Objective) string {
+	if objective.GetKind() == dcsettings.ObjectiveLatency {
+		return fmt.Sprintf("%s-%s", objective.GetKind(), objective.GetThreshold().AsDuration())
+	}
+	return objective.GetKind()
+}
+
+// goodFor lists the objectives that a request met. Only an answer that ran can
+// meet one; coverage is met by a complete answer.
+func goodFor(rules *settingsv1.ServiceGroup, ran, complete bool, elapsed time.Duration) (good []string) {
+	for _, objective := range rules.GetObjectives() {
+		met := ran && complete
+		if objective.GetKind() == dcsettings.ObjectiveLatency {
+			met = ran && elapsed <= objective.GetThreshold().AsDuration()
+		}
+		if met {
+			good = append(good, objectiveKey(objective))
+		}
+	}
+	return good
+}
--- /dev/null
+++ b/internal/dchost/parse.go
@@ -0,0 +1,159 @@
+package dchost
+
+import (
+	"net/url"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+)
+
+const (
+	// envelopeBytes is the room for fields other than the body in a request.
+	envelopeBytes = 64 << 10
+	// maxDocumentBytes is the largest apply request; JSON may escape the text.
+	maxDocumentBytes = 2 << 20
+	// maxTimeout keeps a timeout within the range of a duration.
+	maxTimeout      = 24 * time.Hour
+	defaultHistory  = 20
+	maxHistory      = 200
+	defaultInterval = time.Hour
+	maxInterval     = 400 * 24 * time.Hour
+)
+
+// decision is what a request is answered with.
+type decision struct {
+	outcome dcreason.Outcome
+	code    dcreason.Code
+	message string
+	// settled marks an answer in spite of a code other than OK, for example a
+	// partial one.
+	settled bool
+}
+
+var ran = decision{outcome: dcreason.Ran, code: dcreason.OK}
+
+// refuse is the decision about a request that did not run.
+func refuse(code dcreason.Code, message string) decision {
+	return decision{outcome: dcreason.NotRun, code: code, message: message}
+}
+
+func (d decision) ok() bool { return d.code == dcreason.OK }
+
+// parseMessage reads JSON strictly: unknown fields are errors.
+func parseMessage(text []byte, message proto.Message) decision {
+	if err := protojson.Unmarshal(text, message); err != nil {
+		return refuse(dcreason.BadRequest, "body is not a valid request: "+err.Error())
+	}
+	return ran
+}
+
+func parseQuery(text []byte) (*callerv1.QueryRequest, decision) {
+	query := &callerv1.QueryRequest{}
+	if d := parseMessage(text, query); !d.ok() {
+		return nil, d
+	}
+	if query.GetServiceGroup() == "" {
+		return nil, refuse(dcreason.BadRequest, "service-group is missing")
+	}
+	return query, ran
+}
+
+func parseOrder(text []byte) (*callerv1.OrderRequest, decision) {
+	order := &callerv1.OrderRequest{}
+	if d := parseMessage(text, order); !d.ok() {
+		return nil, d
+	}
+	if order.GetServiceGroup() == "" || order.GetService() == "" {
+		return nil, refuse(dcreason.BadRequest, "service-group or service is missing")
+	}
+	if order.GetKey() == "" {
+		return nil, refuse(dcreason.KeyMalformed, "key is missing; use a UUIDv7")
+	}
+	return order, ran
+}
+
+func parseApply(text []byte) (*callerv1.ApplyRequest, decision) {
+	apply := &callerv1.ApplyRequest{}
+	if d := parseMessage(text, apply); !d.ok() {
+		return nil, d
+	}
+	if apply.GetOperationId() == "" {
+		return nil, refuse(dcreason.BadRequest, "operation-id is missing; use a new UUID for each change")
+	}
+	return apply, ran
+}
+
+// parseTimeout reads the header Request-Timeout-Ms.
+func parseTimeout(header string) (time.Duration, decision) {
+	if header == "" {
+		return 0, refuse(dcreason.DeadlineMissing, "header Request-Timeout-Ms is missing")
+	}
+	ms, err := strconv.ParseInt(header, 10, 64)
+	if err != nil {
+		return 0, refuse(dcreason.DeadlineInvalid, "Request-Timeout-Ms is not a whole number")
+	}
+	if ms <= 0 {
+		return 0, refuse(dcreason.DeadlineInvalid, "Request-Timeout-Ms is not positive: the deadline has passed")
+	}
+	if ms > maxTimeout.Milliseconds() {
+		return 0, refuse(dcreason.DeadlineInvalid, "Request-Timeout-Ms is longer than a day")
+	}
+	return time.Duration(ms) * time.Millisecond, ran
+}
+
+// parseInterval reads the bounds of a report; the last hour when absent.
+func parseInterval(values url.Values, now time.Time) (from, until time.Time, d decision) {
+	until, d = parseTime(values.Get("until"), now)
+	if !d.ok() {
+		return from, until, d
+	}
+	from, d = parseTime(values.Get("from"), until.Add(-defaultInterval))
+	if !d.ok() {
+		return from, until, d
+	}
+	if !from.Before(until) || until.Sub(from) > maxInterval {
+		return from, until, refuse(dcreason.BadRequest, "from must be before until, by at most 400 days")
+	}
+	return from, until, ran
+}
+
+func parseTime(text string, otherwise time.Time) (time.Time, decision) {
+	if text == "" {
+		return otherwise, ran
+	}
+	parsed, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return parsed, refuse(dcreason.BadRequest, "from and until must be RFC 3339 times")
+	}
+	return parsed, ran
+}
+
+func parseLimit(text string) (int, decision) {
+	if text == "" {
+		return defaultHistory, ran
+	}
+	limit, err := strconv.Atoi(text)
+	if err != nil || limit < 1 || limit > maxHistory {
+		return 0, refuse(dcreason.BadRequest, "limit must be between 1 and "+strconv.Itoa(maxHistory))
+	}
+	return limit, ran
+}
+
+// parseRevision reads a revision number; 0 stands for latest.
+func parseRevision(text string) (dcid.Revision, decision) {
+	if text == "latest" {
+		return 0, ran
+	}
+	number, err := strconv.ParseUint(text, 10, 32)
+	if err != nil || number == 0 {
+		return 0, refuse(dcreason.BadRequest, "revision must be a positive number or latest")
+	}
+	return dcid.Revision(number), ran
+}
--- /dev/null
+++ b/internal/dchost/queryrun.go
@@ -0,0 +1,244 @@
+package dchost
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcadmission"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcquery"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	"github.com/dandelioncart/dandelioncart/internal/dcsettings"
+	"github.com/dandelioncart/dandelioncart/internal/dcshardmap"
+	"github.com/dandelioncart/dandelioncart/internal/dcupstream"
+)
+
+const (
+	// answerMargin is the largest part of a deadline that is kept for writing
+	// the answer, which is a tenth of short deadlines.
+	answerMargin = 10 * time.Millisecond
+	marginShare  = 10
+	// restartTime is the time left that a restart on a newer version needs.
+	restartTime = 20 * time.Millisecond
+)
+
+// querySpec is a query as accepted from a caller.
+type querySpec struct {
+	request    dcid.RequestID
+	department dcid.Department
+	schema     dcid.SchemaVersion
+	body       []byte
+	deadline   time.Time
+	view       *view
+	group      *group
+}
+
+// queryRun drives one query with real transmissions.
+type queryRun struct {
+	*Host
+	spec  querySpec
+	check *checkedDigest
+
+	query   *dcquery.Query
+	events  chan queryEvent
+	cancel  map[dcquery.Transmission]context.CancelFunc
+	timer   clockwork.Timer
+	answer  *dcquery.Answer
+	pushes  sync.WaitGroup
+	waited  time.Duration
+	answers int
+	shed    bool
+}
+
+type queryEvent struct {
+	id       dcquery.Transmission
+	server   dcid.ServerAddr
+	label    dcupstream.Label
+	response dcupstream.Response
+}
+
+// runQuery admits and runs a query. The answer is nil when it was refused
+// before start with the code.
+func (h *Host) runQuery(ctx context.Context, spec querySpec) (*dcquery.Answer, dcreason.Code) {
+	check, code := h.checkDigest(ctx, spec.group, spec.schema, spec.body, spec.deadline)
+	if code != dcreason.OK {
+		return nil, code
+	}
+	defer check.end()
+	arrived := h.Clock.Now()
+	ticket, code := spec.group.admit(ctx, spec.department, spec.deadline)
+	h.meter.queueWait.Record(h.Clock.Since(arrived))
+	if code != dcreason.OK {
+		return nil, code
+	}
+	run := &queryRun{
+		Host:   h,
+		spec:   spec,
+		check:  check,
+		events: make(chan queryEvent, 64),
+		cancel: map[dcquery.Transmission]context.CancelFunc{},
+	}
+	run.loop(ctx)
+	run.finish(ticket)
+	return run.answer, dcreason.OK
+}
+
+// loop feeds events to the query until it has an answer.
+func (r *queryRun) loop(caller context.Context) {
+	ctx, end := context.WithCancel(r.life)
+	defer end()
+	r.timer = r.Clock.NewTimer(time.Hour)
+	defer r.timer.Stop()
+	r.locked(ctx, r.begin)
+	for r.answer == nil {
+		select {
+		case event := <-r.events:
+			r.respond(ctx, event)
+		case <-r.timer.Chan():
+			r.locked(ctx, func() []dcquery.Action { return r.query.Timer(r.Clock.Now()) })
+		case <-caller.Done():
+			r.locked(ctx, func() []dcquery.Action { return r.query.Abandon(r.Clock.Now()) })
+		}
+	}
+}
+
+// begin pins a snapshot and starts the query. The group's lock is held.
+func (r *queryRun) begin() []dcquery.Action {
+	group := r.spec.group
+	r.query = dcquery.New(group.table.Pin(), dcquery.Options{
+		Request:  r.spec.request,
+		Deadline: r.spec.deadline,
+		Rule: dcquery.Rule{
+			Complete:    group.rules.GetCoverage() != dcsettings.CoveragePartial,
+			MinCoverage: group.rules.GetMinCoverage(),
+		},
+		Budget:      group.budget(r.spec.department),
+		Servers:     &queryServers{host: r.Host, view: r.spec.view, avoid: r.check.avoid},
+		Rand:        group.random,
+		PinNewer:    func(than *dcshardmap.Pin) *dcshardmap.Pin { return group.table.PinNewer(than) },
+		RestartTime: restartTime,
+		Canary:      r.check.canary,
+		RetryCanary: r.check.retry,
+	})
+	return r.query.Start(r.Clock.Now())
+}
+
+// locked calls the query under the group's lock, and then does what it asks.
+// The actions are copied because they are valid until the next call only.
+func (r *queryRun) locked(ctx context.Context, call func() []dcquery.Action) {
+	r.spec.group.mu.Lock()
+	actions := append([]dcquery.Action(nil), call()...)
+	r.spec.group.mu.Unlock()
+	for _, action := range actions {
+		r.do(ctx, action)
+	}
+}
+
+func (r *queryRun) do(ctx context.Context, action dcquery.Action) {
+	switch action.Kind {
+	case dcquery.Send:
+		r.send(ctx, action)
+	case dcquery.Cancel:
+		if cancel, ok := r.cancel[action.Transmission]; ok {
+			cancel()
+			delete(r.cancel, action.Transmission)
+		}
+	case dcquery.Wake:
+		r.timer.Reset(action.Time.Sub(r.Clock.Now()))
+	case dcquery.Suspect:
+		r.meter.suspicions.Inc(1)
+	case dcquery.Finish:
+		r.answer = action.Answer
+	}
+}
+
+func (r *queryRun) send(ctx context.Context, action dcquery.Action) {
+	ctx, cancel := context.WithCancel(ctx)
+	r.cancel[action.Transmission] = cancel
+	r.check.sent(action.Server)
+	search := dcupstream.Search{
+		Server:   action.Server,
+		Label:    action.Label,
+		Schema:   r.spec.schema,
+		Deadline: action.Time,
+		Body:     r.spec.body,
+	}
+	target := r.spec.view.targets[action.Server]
+	if target != nil {
+		target.inFlight.Add(1)
+	}
+	r.tasks.Go(func() {
+		defer cancel()
+		response := r.Upstream.Search(ctx, search)
+		if target != nil {
+			target.inFlight.Add(-1)
+		}
+		select {
+		case r.events <- queryEvent{id: action.Transmission, server: action.Server, label: action.Label, response: response}:
+		case <-ctx.Done():
+		}
+	})
+}
+
+// respond takes evidence before the query sees the response, since a restart
+// needs it in the shard map.
+func (r *queryRun) respond(ctx context.Context, event queryEvent) {
+	delete(r.cancel, event.id)
+	if target := r.spec.view.targets[event.server]; target != nil {
+		r.evidence(target, event.response)
+	}
+	if event.response.QueueTime >= 0 {
+		r.waited += event.response.QueueTime
+		r.answers++
+	}
+	r.shed = r.shed || event.response.Code == dcreason.UpstreamShed
+	if push := r.check.responded(event.server, event.response); len(push) > 0 {
+		r.pushes.Go(func() { r.pushSuspicions(push) })
+	}
+	r.locked(ctx, func() []dcquery.Action {
+		r.spec.group.withEvidence(event.server, event.label, event.response.Code, r.wall())
+		return r.query.Response(event.id, event.response, r.Clock.Now())
+	})
+}
+
+// finish ends the admission and waits until peers have heard of a crash.
+func (r *queryRun) finish(ticket dcadmission.Ticket) {
+	r.pushes.Wait()
+	r.countQuery()
+	if r.answer.Code == dcreason.Cancelled {
+		r.spec.group.abandon(ticket)
+		return
+	}
+	sample := dcadmission.Sample{QueueTime: -1, Overloaded: r.shed, Failed: r.answer.Refused}
+	if r.answers > 0 {
+		sample.QueueTime = r.waited / time.Duration(r.answers)
+	}
+	r.spec.group.done(ticket, sample)
+	if r.answer.Refused && r.answer.Code == dcreason.NoServer && len(r.check.avoid) > 0 {
+		r.answer.Code = dcreason.RequestSuspected
+	}
+}
+
+func (r *queryRun) countQuery() {
+	stats := r.answer.Stats
+	r.meter.subQueries.Inc(int64(stats.Sent))
+	r.meter.hedges.Inc(int64(stats.Hedges))
+	r.meter.retries.Inc(int64(stats.Retries))
+	r.meter.restarts.Inc(int64(stats.Restarts))
+	r.meter.dropped.Inc(int64(stats.Mismatched + stats.Stray))
+	r.meter.denied.Inc(int64(stats.Denied))
+}
+
+// withEvidence records in the shard map that a server lacks what its label
+// names. The group's lock is held.
+func (g *group) withEvidence(server dcid.ServerAddr, label dcupstream.Label, code dcreason.Code, now time.Time) {
+	switch code {
+	case dcreason.VersionGone:
+		g.table.VersionGone(server, label.Shard, label.Version, label.Epoch, now)
+	case dcreason.ShardGone:
+		g.table.ShardGone(server, label.Shard, label.Epoch, now)
+	}
+}
--- /dev/null
+++ b/internal/dchost/stop.go
@@ -0,0 +1,114 @@
+package dchost
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcdrain"
+	"github.com/dandelioncart/dandelioncart/internal/dcmembership"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+)
+
+const stopStep = 50 * time.Millisecond
+
+type drainState struct {
+	mu    sync.Mutex
+	drain dcdrain.Drain
+}
+
+func (s *drainState) admit(kind dcdrain.Kind) dcreason.Code {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drain.Admit(kind)
+}
+
+func (s *drainState) ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drain.Ready()
+}
+
+func (s *drainState) step(now time.Time, work dcdrain.Work) (dcdrain.Phase, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drain.Step(now, work), s.drain.Forced()
+}
+
+// stopWhenDone waits for ctx to end and goes through the stop sequence. It
+// returns early when life ends, because a component failed.
+func (h *Host) stopWhenDone(ctx, life context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-life.Done():
+		return
+	}
+	if !h.waitForTurn(life) {
+		return
+	}
+	h.drain.mu.Lock()
+	h.drain.drain.Stop(h.Clock.Now())
+	h.drain.mu.Unlock()
+	h.announce(life, dcmembership.Leaving)
+	h.finishWork(life)
+	h.announce(life, dcmembership.Gone)
+}
+
+// waitForTurn waits while other hosts are away, at most the stop timeout, so
+// that a rolling restart takes one host away at a time.
+func (h *Host) waitForTurn(life context.Context) bool {
+	deadline := h.Clock.Now().Add(h.Settings.GetStopTimeout().AsDuration())
+	for {
+		gate := dcdrain.Gate{Self: h.self.ID, Expected: int(h.view.Load().configuration().GetEntryHosts())}
+		away, ok := gate.Check(h.members.hosts())
+		if ok {
+			return true
+		}
+		select {
+		case <-h.override:
+			return true
+		default:
+		}
+		if !h.Clock.Now().Before(deadline) {
+			h.Log.Warn("stop timeout passed while other hosts are away, leaving anyway", zap.Any("away", away))
+			return true
+		}
+		if !h.pause(life, stopStep) {
+			return false
+		}
+	}
+}
+
+// finishWork steps through the sequence until it is done.
+func (h *Host) finishWork(life context.Context) {
+	released := false
+	for {
+		held := 0
+		if !released {
+			held = 1
+		}
+		work := dcdrain.Work{InFlight: int(h.requests.Load() + h.background.Load()), Held: held}
+		phase, forced := h.drain.step(h.Clock.Now(), work)
+		if phase == dcdrain.Released && !released {
+			released = h.release(life)
+			continue
+		}
+		if phase == dcdrain.Done {
+			h.Log.Info("host stopped", zap.Bool("forced", forced))
+			return
+		}
+		if !h.pause(life, stopStep) {
+			return
+		}
+	}
+}
+
+// release gives back the lease and the seat. Connections to upstreams are
+// closed first, because the seat is free for anyone at once.
+func (h *Host) release(life context.Context) bool {
+	h.counters.close(h.Clock.Now())
+	h.closeConnections()
+	return h.releaseSeat(life) && h.revokeHostRecord(life)
+}
--- /dev/null
+++ b/internal/dchost/target.go
@@ -0,0 +1,286 @@
+package dchost
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	upstreamv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/upstream/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcconnshare"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcmembership"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	"github.com/dandelioncart/dandelioncart/internal/dcupstream"
+)
+
+const (
+	// shareQuiet is the time without a refusal after which a connection limit
+	// recovers by one.
+	shareQuiet = 5 * time.Second
+	// pollStep is the resolution of the status schedule.
+	pollStep = 20 * time.Millisecond
+	// pollSpread is the time over which the first polls are spread.
+	pollSpread   = 100 * time.Millisecond
+	pollTimeout  = time.Second
+	limitsPeriod = 250 * time.Millisecond
+)
+
+// Server states in the status of an upstream.
+const (
+	stateServing  = "serving"
+	stateCold     = "cold"
+	stateDraining = "draining"
+)
+
+// target is this host's state of one upstream server, under its own lock.
+type target struct {
+	addr     dcid.ServerAddr
+	inFlight atomic.Int32
+
+	mu       sync.Mutex
+	share    dcconnshare.Share
+	groups   []*group
+	operator bool
+	nextPoll time.Time
+	polling  bool
+}
+
+func (t *target) configure(owner *group, limit, seats int, leaving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.share.Cap != limit || t.share.Seats != seats {
+		t.share = dcconnshare.Share{Cap: limit, Seats: seats, Quiet: shareQuiet}
+	}
+	t.operator = leaving
+	if !slices.Contains(t.groups, owner) {
+		t.groups = append(t.groups, owner)
+	}
+}
+
+func (t *target) limit(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.share.Limit(now)
+}
+
+// serverState is the view of leaving servers.
+type serverState struct {
+	mu      sync.Mutex
+	servers dcmembership.Servers
+}
+
+func (s *serverState) usable(addr dcid.ServerAddr) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servers.Usable(addr)
+}
+
+// update changes the view of servers and passes what changed to the shard maps.
+func (h *Host) update(targets []*target, change func(*dcmembership.Servers) bool) {
+	h.servers.mu.Lock()
+	changed := change(&h.servers.servers)
+	h.servers.mu.Unlock()
+	if !changed {
+		return
+	}
+	for _, target := range targets {
+		h.syncUsable(target)
+	}
+}
+
+func (h *Host) syncUsable(target *target) {
+	target.mu.Lock()
+	groups := slices.Clone(target.groups)
+	target.mu.Unlock()
+	for _, group := range groups {
+		group.mu.Lock()
+		group.table.SetUsable(target.addr, h.servers.usable(target.addr))
+		group.mu.Unlock()
+	}
+}
+
+// observe takes a signal that a server is leaving.
+func (h *Host) observe(target *target, signal dcmembership.Signal) {
+	h.update(only(target), func(servers *dcmembership.Servers) bool {
+		return servers.Observe(target.addr, signal, h.wall())
+	})
+}
+
+// evidence takes what a response to a search or an order tells of its server.
+func (h *Host) evidence(target *target, response dcupstream.Response) {
+	switch response.Code {
+	case dcreason.UpstreamDraining:
+		h.observe(target, dcmembership.Draining)
+	case dcreason.UpstreamCrashed:
+		h.observe(target, dcmembership.Closed)
+		h.restartRamp(target)
+	case dcreason.ConnectionRefused, dcreason.ConnectionFailed:
+		target.mu.Lock()
+		target.share.Refused(h.Clock.Now())
+		target.mu.Unlock()
+		h.meter.refusedConnections.Inc(1)
+	}
+	if response.Connect {
+		h.meter.dials.Inc(1)
+	}
+}
+
+func (h *Host) restartRamp(target *target) {
+	h.servers.mu.Lock()
+	defer h.servers.mu.Unlock()
+	h.servers.servers.Failed(target.addr, h.wall())
+}
+
+// pollStatus polls every server once in each status interval. Polls are spread
+// over the interval, since all hosts poll the same servers.
+func (h *Host) pollStatus(ctx context.Context) error {
+	random := h.newRandom()
+	interval := h.Settings.GetStatusInterval().AsDuration()
+	return h.every(ctx, pollStep, func(ctx context.Context) {
+		now := h.Clock.Now()
+		if !h.seats.active(now) {
+			return
+		}
+		for _, target := range h.view.Load().ordered {
+			target.mu.Lock()
+			if target.nextPoll.IsZero() {
+				target.nextPoll = now.Add(time.Duration(random.Float64() * float64(pollSpread)))
+			}
+			due := !target.polling && !now.Before(target.nextPoll)
+			if due {
+				target.polling = true
+				target.nextPoll = now.Add(h.jitter(interval))
+			}
+			target.mu.Unlock()
+			if due {
+				h.tasks.Go(func() { h.poll(ctx, target) })
+			}
+		}
+	})
+}
+
+func (h *Host) poll(ctx context.Context, target *target) {
+	asked := h.wall()
+	ctx, cancel := timeout(ctx, h.Clock, pollTimeout)
+	defer cancel()
+	status, err := h.Upstream.Status(ctx, target.addr)
+	target.mu.Lock()
+	target.polling = false
+	groups := slices.Clone(target.groups)
+	target.mu.Unlock()
+	if context.Cause(ctx) == context.Canceled {
+		return
+	}
+	// A poll that only took too long may have waited for this host's share.
+	late := context.Cause(ctx) != nil
+	h.noteState(target, status, err, asked, late)
+	if err != nil {
+		return
+	}
+	for _, group := range groups {
+		group.mu.Lock()
+		err := group.table.Report(target.addr, status, asked)
+		group.mu.Unlock()
+		if err != nil {
+			h.Log.Debug("status is not used", zap.String("server", string(target.addr)), zap.Error(err))
+		}
+	}
+}
+
+func (h *Host) noteState(target *target, status *upstreamv1.Status, err error, asked time.Time, late bool) {
+	now := h.wall()
+	h.update(only(target), func(servers *dcmembership.Servers) bool {
+		if err != nil {
+			closed := !late && servers.Observe(target.addr, dcmembership.Closed, asked)
+			return servers.Probed(target.addr, false, asked, now) || closed
+		}
+		switch status.GetState() {
+		case stateDraining:
+			return servers.Observe(target.addr, dcmembership.Draining, now)
+		case stateCold:
+			servers.Cold(target.addr, now)
+		}
+		return servers.Probed(target.addr, true, asked, now)
+	})
+}
+
+// applyLimits sets the connection limits and the operator's signals.
+func (h *Host) applyLimits(ctx context.Context) error {
+	limiter, limits := h.Upstream.(ConnectionLimiter)
+	return h.every(ctx, limitsPeriod, func(context.Context) {
+		now := h.Clock.Now()
+		active := h.seats.active(now)
+		open := 0
+		for _, target := range h.view.Load().ordered {
+			h.noteOperator(target)
+			if limits {
+				limiter.SetLimit(target.addr, h.limitOf(target, active, now))
+				open += limiter.Connections(target.addr).Open
+			}
+		}
+		h.meter.connections.Update(float64(open))
+	})
+}
+
+// limitOf returns how many connections this host may use to a server. One is
+// kept for the status of a server that receives no work.
+func (h *Host) limitOf(target *target, active bool, now time.Time) int {
+	if !active {
+		return 0
+	}
+	share := target.limit(now)
+	h.servers.mu.Lock()
+	defer h.servers.mu.Unlock()
+	return max(h.servers.servers.InFlight(target.addr, share, now.Round(0)), 1)
+}
+
+func (h *Host) noteOperator(target *target) {
+	target.mu.Lock()
+	leaving := target.operator
+	target.mu.Unlock()
+	h.update(only(target), func(servers *dcmembership.Servers) bool {
+		if leaving {
+			return servers.Observe(target.addr, dcmembership.Operator, h.wall())
+		}
+		return servers.Withdraw(target.addr, dcmembership.Operator, h.wall())
+	})
+}
+
+func (h *Host) closeConnections() {
+	limiter, ok := h.Upstream.(ConnectionLimiter)
+	if !ok {
+		return
+	}
+	for _, target := range h.view.Load().ordered {
+		limiter.SetLimit(target.addr, 0)
+	}
+}
+
+// queryServers is what a query asks of servers.
+type queryServers struct {
+	host  *Host
+	view  *view
+	avoid []dcid.ServerAddr
+}
+
+// Usable implements dcquery.Servers.
+func (s *queryServers) Usable(addr dcid.ServerAddr) bool {
+	return !slices.Contains(s.avoid, addr) && s.host.servers.usable(addr)
+}
+
+// InFlight implements dcquery.Servers.
+func (s *queryServers) InFlight(addr dcid.ServerAddr) int {
+	if target, ok := s.view.targets[addr]; ok {
+		return int(target.inFlight.Load())
+	}
+	return 0
+}
+
+func only(changed *target) []*target {
+	return []*target{changed}
+}
--- /dev/null
+++ b/internal/dchost/view.go
@@ -0,0 +1,115 @@
+package dchost
+
+import (
+	"slices"
+
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcconfig"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+)
+
+// view is the configuration in force with the state that follows from it. It is
+// replaced as a whole when a revision is adopted.
+type view struct {
+	accepted *dcconfig.Accepted
+	groups   map[dcid.GroupName]*group
+	targets  map[dcid.ServerAddr]*target
+	// ordered lists the targets by address.
+	ordered []*target
+	// maxBody is the largest body that any group accepts.
+	maxBody int64
+}
+
+func (v *view) configuration() *settingsv1.Configuration {
+	if v.accepted == nil {
+		return nil
+	}
+	return v.accepted.Configuration
+}
+
+func (v *view) revision() dcid.Revision {
+	if v.accepted == nil {
+		return 0
+	}
+	return v.accepted.Revision
+}
+
+// department returns the entry of a department.
+func (v *view) department(name dcid.Department) *settingsv1.Department {
+	for _, department := range v.configuration().GetDepartments() {
+		if department.GetName() == string(name) {
+			return department
+		}
+	}
+	return nil
+}
+
+// nextView builds the state of a revision. Groups and servers that stay keep
+// their state.
+func (h *Host) nextView(accepted *dcconfig.Accepted) *view {
+	old := h.view.Load()
+	next := &view{
+		accepted: accepted,
+		groups:   map[dcid.GroupName]*group{},
+		targets:  map[dcid.ServerAddr]*target{},
+	}
+	seats := int(accepted.Configuration.GetEntryHosts())
+	for _, rules := range accepted.Configuration.GetServiceGroups() {
+		name := dcid.GroupName(rules.GetName())
+		kept, ok := old.groups[name]
+		if !ok {
+			kept = newGroup(h)
+		}
+		kept.configure(rules, seats)
+		next.groups[name] = kept
+		next.maxBody = max(next.maxBody, int64(rules.GetMaxBodyBytes()))
+		h.addTargets(next, old, kept, rules, seats)
+	}
+	for _, added := range next.targets {
+		next.ordered = append(next.ordered, added)
+	}
+	slices.SortFunc(next.ordered, func(a, b *target) int {
+		if a.addr < b.addr {
+			return -1
+		}
+		return 1
+	})
+	return next
+}
+
+func (h *Host) addTargets(next, old *view, owner *group, rules *settingsv1.ServiceGroup, seats int) {
+	for _, service := range rules.GetServices() {
+		for _, upstream := range service.GetUpstreams() {
+			for _, server := range upstream.GetServers() {
+				addr := dcid.ServerAddr(server)
+				kept, ok := next.targets[addr]
+				if !ok {
+					kept = old.targets[addr]
+				}
+				if kept == nil {
+					kept = &target{addr: addr}
+				}
+				next.targets[addr] = kept
+				kept.configure(owner, int(rules.GetConnections()), seats, slices.Contains(upstream.GetLeaving(), server))
+			}
+		}
+	}
+}
+
+// allServers returns the servers of a service.
+func allServers(service *settingsv1.Service) (servers []dcid.ServerAddr) {
+	for _, upstream := range service.GetUpstreams() {
+		for _, server := range upstream.GetServers() {
+			servers = append(servers, dcid.ServerAddr(server))
+		}
+	}
+	return servers
+}
+
+func countServers(rules *settingsv1.ServiceGroup) (count int) {
+	for _, service := range rules.GetServices() {
+		count += len(allServers(service))
+	}
+	return count
+}
--- a/internal/dcupstream/classify.go
+++ b/internal/dcupstream/classify.go
@@ -93,7 +93,7 @@
 
 // HeaderState tells why a server refused a request: draining, or else load
 // shedding.
-const HeaderState = "State"
+const HeaderState = "Server-State"
 
 func shedCode(header http.Header, outcome dcreason.Outcome) dcreason.Code {
 	switch {
