--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,12 @@
 build:
 	go build -o $(BIN)/ ./cmd/...
 
+demo: build
+	$(BIN)/dandelioncart-demo
+
+demo-kill: build
+	$(BIN)/dandelioncart-demo --kill
+
 test:
 	go test $(PACKAGES)
 
--- a/cmd/dandelioncart/main.go
+++ b/cmd/dandelioncart/main.go
@@ -25,12 +25,13 @@
 	"github.com/dandelioncart/dandelioncart/internal/dccommand/dcquerycommand"
 	"github.com/dandelioncart/dandelioncart/internal/dccommand/dcreportburncommand"
 	"github.com/dandelioncart/dandelioncart/internal/dccommand/dcreportdepartmentcommand"
+	"github.com/dandelioncart/dandelioncart/internal/dccommand/dcservecommand"
 	"github.com/dandelioncart/dandelioncart/internal/dccommand/dcversioncommand"
 )
 
-// commands is the grammar of the command line. The command serve goes here
-// as: Serve dcservecommand.Options `cmd:"" help:"Run a host of the tier."`
+// commands is the grammar of the command line.
 type commands struct {
+	Serve      dcservecommand.Options     `cmd:"" help:"Run a host of the tier."`
 	Config     configCommands             `cmd:"" help:"Check, apply and read the service configuration."`
 	Addresses  dcaddressescommand.Options `cmd:"" help:"Ask which entry hosts to use."`
 	Query      dcquerycommand.Options     `cmd:"" help:"Query every shard of a service group."`
--- /dev/null
+++ b/internal/dccommand/dcdemocommand/demo.go
@@ -0,0 +1,133 @@
+// Package dcdemocommand runs a demonstration: stand-ins and entry hosts as
+// separate processes on loopback.
+package dcdemocommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+)
+
+// Options are the arguments of dandelioncart-demo.
+type Options struct {
+	Bin      string        `help:"Directory of the programs." default:"bin" type:"existingdir"`
+	Examples string        `help:"Directory of the example settings." default:"examples" type:"existingdir"`
+	Hosts    int           `help:"Number of entry hosts." default:"4"`
+	Queries  int           `help:"Number of queries." default:"5"`
+	Kill     bool          `help:"Kill one host under a light load and check every answer."`
+	Load     time.Duration `help:"Length of the load with --kill." default:"8s"`
+}
+
+// Description is the help text of the program.
+const Description = `Starts the prairie-west stand-ins and entry hosts on free loopback ports, applies
+the example configuration, runs queries and an order, and stops everything.
+
+Examples:
+
+  Show the path of a query and an order:
+    dandelioncart-demo
+
+  Kill one of the hosts by process id under load:
+    dandelioncart-demo --kill`
+
+const (
+	queryGroup    = "kitchen-search"
+	orderGroup    = "mill-orders"
+	schemaVersion = "2026-06"
+	administrator = "operations"
+	caller        = "kitchen"
+	startTimeout  = 20 * time.Second
+	pollInterval  = 20 * time.Millisecond
+)
+
+// Run runs the demonstration and writes what happens to out.
+func Run(ctx context.Context, options Options, out io.Writer, random io.Reader) (err error) {
+	defer func() { err = eris.Wrap(err, "run demo") }()
+	directory, err := os.MkdirTemp("", "dandelioncart-demo-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(directory)
+	deployment := &deployment{options: options, directory: directory, out: out, random: random}
+	defer deployment.kill()
+	if err := deployment.start(ctx); err != nil {
+		return deployment.explain(err)
+	}
+	run := deployment.show
+	if options.Kill {
+		run = deployment.killOne
+	}
+	if err := run(ctx); err != nil {
+		return deployment.explain(err)
+	}
+	if err := deployment.stop(); err != nil {
+		return deployment.explain(err)
+	}
+	_, _ = fmt.Fprintln(out, "everything stopped")
+	return nil
+}
+
+// show runs queries on all hosts in turn, and one order.
+func (d *deployment) show(ctx context.Context) error {
+	if err := d.tool(ctx, caller, "addresses", queryGroup); err != nil {
+		return err
+	}
+	for i := range d.options.Queries {
+		answer, elapsed, err := d.query(ctx, i%len(d.hosts), fmt.Sprintf("rye-%d", i))
+		if err != nil {
+			return err
+		}
+		covered, missing := coverageOf(answer)
+		d.printf("query on %s: %s, index version %s, shards covered %d, missing %d, %s\n",
+			answer.GetResult().GetHostId(), answer.GetResult().GetReason(), answer.GetIndexVersion(), covered, missing, elapsed.Round(10*time.Microsecond))
+		if err := checkQuery(answer, fmt.Sprintf("rye-%d", i), d.shards()); err != nil {
+			return err
+		}
+	}
+	if err := d.showOrder(ctx); err != nil {
+		return err
+	}
+	return d.tool(ctx, administrator, "config", "status")
+}
+
+// showOrder sends an order twice to one host and looks it up on another.
+func (d *deployment) showOrder(ctx context.Context) error {
+	key := newKey()
+	for _, name := range []string{"order", "same order again"} {
+		answer, elapsed, err := d.order(ctx, 0, key)
+		if err != nil {
+			return err
+		}
+		d.printf("%s on %s: %s %s, %s, %s\n", name, answer.GetResult().GetHostId(),
+			answer.GetResult().GetOutcome(), answer.GetResult().GetReason(), answer.GetBody(), elapsed.Round(10*time.Microsecond))
+		if err := wantRan(answer); err != nil {
+			return err
+		}
+	}
+	answer, err := d.lookup(ctx, 1, key)
+	if err != nil {
+		return err
+	}
+	d.printf("order looked up on %s: %s, %s\n", answer.GetResult().GetHostId(), answer.GetResult().GetOutcome(), answer.GetBody())
+	if err := wantRan(answer); err != nil {
+		return err
+	}
+	return d.checkRuns(1, 1)
+}
+
+func wantRan(answer *callerv1.OrderResponse) error {
+	if result := answer.GetResult(); result.GetOutcome() != "ran" {
+		return eris.Errorf("order %s is %s: %s %s", answer.GetKey(), result.GetOutcome(), result.GetReason(), result.GetMessage())
+	}
+	return nil
+}
+
+func (d *deployment) printf(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(d.out, format, arguments...)
+}
--- /dev/null
+++ b/internal/dccommand/dcdemocommand/deployment.go
@@ -0,0 +1,308 @@
+package dcdemocommand
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+	standinv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/standin/v1"
+)
+
+// deployment is a running set of processes.
+type deployment struct {
+	options   Options
+	directory string
+	out       io.Writer
+	random    io.Reader
+
+	standIn     *process
+	hosts       []*process
+	ready       *standinv1.Ready
+	settings    []*settingsv1.HostSettings
+	credentials map[string]string
+	client      *http.Client
+}
+
+// process is one program that this demo started.
+type process struct {
+	name    string
+	command *exec.Cmd
+	log     string
+	done    chan struct{}
+	err     error
+	ended   bool
+}
+
+// launch starts a program whose standard error goes to a file.
+func (d *deployment) launch(name string, output io.Writer, program string, arguments ...string) (*process, error) {
+	log, err := os.Create(filepath.Join(d.directory, name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	started := &process{
+		name:    name,
+		command: exec.Command(filepath.Join(d.options.Bin, program), arguments...),
+		log:     log.Name(),
+		done:    make(chan struct{}),
+	}
+	started.command.Stderr = log
+	started.command.Stdout = output
+	if err := started.command.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		started.err = started.command.Wait()
+		close(started.done)
+	}()
+	return started, nil
+}
+
+func (p *process) signal(signal os.Signal) {
+	_ = p.command.Process.Signal(signal)
+}
+
+// start brings everything up and applies the configuration.
+func (d *deployment) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	began := time.Now()
+	callers, peers, err := freeAddresses(d.options.Hosts)
+	if err != nil {
+		return err
+	}
+	if err := d.startStandIn(callers); err != nil {
+		return err
+	}
+	if err := d.writeFiles(callers, peers); err != nil {
+		return err
+	}
+	for _, settings := range d.settings {
+		host, err := d.launch(settings.GetHostId(), nil, "dandelioncart", "serve", "--settings", d.path(settings.GetHostId()+".yaml"), "--stop-allowance", "200ms")
+		if err != nil {
+			return err
+		}
+		d.hosts = append(d.hosts, host)
+	}
+	if err := d.await(ctx, "/livez"); err != nil {
+		return err
+	}
+	if err := d.tool(ctx, administrator, "config", "apply", "--base-revision", "0", "--comment", "demo", d.path("configuration.yaml")); err != nil {
+		return err
+	}
+	if err := d.await(ctx, "/readyz"); err != nil {
+		return err
+	}
+	d.printf("%d hosts and %d upstream servers are ready after %s\n", len(d.hosts), d.servers(), time.Since(began).Round(time.Millisecond))
+	return nil
+}
+
+// startStandIn starts the stand-ins and reads their addresses.
+func (d *deployment) startStandIn(tierHosts []string) error {
+	if err := d.writeProfile(tierHosts); err != nil {
+		return err
+	}
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		return err
+	}
+	defer reader.Close()
+	d.standIn, err = d.launch("stand-in", writer, "dandelioncart-standin", d.path("profile.yaml"))
+	_ = writer.Close()
+	if err != nil {
+		return err
+	}
+	line, err := bufio.NewReader(reader).ReadBytes('\n')
+	if err != nil {
+		return eris.Wrap(err, "read the addresses of the stand-ins")
+	}
+	d.ready = &standinv1.Ready{}
+	return protojson.Unmarshal(line, d.ready)
+}
+
+// await polls all hosts until they answer 200 on a path.
+func (d *deployment) await(ctx context.Context, path string) error {
+	for i := range d.hosts {
+		for {
+			response, err := d.client.Get(d.url(i) + path)
+			if err == nil {
+				_ = response.Body.Close()
+				if response.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			select {
+			case <-time.After(pollInterval):
+			case <-d.hosts[i].done:
+				return eris.Errorf("%s ended early: %v", d.hosts[i].name, d.hosts[i].err)
+			case <-ctx.Done():
+				return eris.Errorf("%s does not answer %s", d.hosts[i].name, path)
+			}
+		}
+	}
+	return nil
+}
+
+// tool runs the operators' tool as a department against the first host.
+func (d *deployment) tool(ctx context.Context, department string, arguments ...string) error {
+	command := exec.CommandContext(ctx, filepath.Join(d.options.Bin, "dandelioncart"), arguments...)
+	var output bytes.Buffer
+	command.Stdout, command.Stderr = &output, &output
+	command.Env = append(os.Environ(),
+		"SSL_CERT_FILE="+d.path("authority.pem"),
+		"DANDELIONCART_ADDRESS="+d.url(0),
+		"DANDELIONCART_DEPARTMENT="+department,
+		"DANDELIONCART_CREDENTIAL="+d.credentials[department],
+	)
+	err := command.Run()
+	d.printf("$ dandelioncart %s %s\n%s", arguments[0], arguments[1], output.Bytes())
+	return eris.Wrapf(err, "dandelioncart %s", arguments[0])
+}
+
+// stop ends all processes gracefully. The second signal lets the hosts leave at
+// once instead of one after the other.
+func (d *deployment) stop() error {
+	for _, host := range d.hosts {
+		host.signal(syscall.SIGTERM)
+	}
+	for _, host := range d.hosts {
+		select {
+		case <-time.After(pollInterval):
+		case <-host.done:
+		}
+		host.signal(syscall.SIGTERM)
+	}
+	for _, host := range append(d.hosts, d.standIn) {
+		if host == d.standIn {
+			host.signal(syscall.SIGTERM)
+		}
+		if err := host.await(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// await waits for the end of a process that was told to stop.
+func (p *process) await() error {
+	if p.ended {
+		return nil
+	}
+	select {
+	case <-p.done:
+		return eris.Wrap(p.err, p.name)
+	case <-time.After(startTimeout):
+		return eris.Errorf("%s did not stop", p.name)
+	}
+}
+
+// kill ends what still runs, after a failure.
+func (d *deployment) kill() {
+	for _, started := range append(d.hosts, d.standIn) {
+		if started == nil {
+			continue
+		}
+		select {
+		case <-started.done:
+		default:
+			started.signal(syscall.SIGKILL)
+			<-started.done
+		}
+	}
+}
+
+// explain adds the ends of the logs to an error.
+func (d *deployment) explain(err error) error {
+	const tail = 1500
+	for _, started := range append(d.hosts, d.standIn) {
+		if started == nil {
+			continue
+		}
+		text, _ := os.ReadFile(started.log)
+		d.printf("--- %s\n%s\n", started.name, text[max(0, len(text)-tail):])
+	}
+	return err
+}
+
+func (d *deployment) path(name string) string {
+	return filepath.Join(d.directory, name)
+}
+
+func (d *deployment) url(host int) string {
+	return "https://" + d.settings[host].GetCallers().GetListen()
+}
+
+func (d *deployment) servers() (count int) {
+	for _, group := range d.ready.GetGroups() {
+		for _, service := range group.GetServices() {
+			for _, upstream := range service.GetUpstreams() {
+				count += len(upstream.GetServers())
+			}
+		}
+	}
+	return count
+}
+
+// shards is the number of shards of the queried group: the stand-ins have one
+// for each server.
+func (d *deployment) shards() (count int) {
+	for _, group := range d.ready.GetGroups() {
+		if group.GetName() != queryGroup {
+			continue
+		}
+		for _, service := range group.GetServices() {
+			for _, upstream := range service.GetUpstreams() {
+				count += len(upstream.GetServers())
+			}
+		}
+	}
+	return count
+}
+
+// report reads what the stand-ins counted.
+func (d *deployment) report() (*standinv1.Report, error) {
+	response, err := http.Get(d.ready.GetAdmin() + "/v1/report")
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	report := &standinv1.Report{}
+	return report, protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(text, report)
+}
+
+// checkRuns checks that no order ran twice, and how many ran.
+func (d *deployment) checkRuns(least, most int) error {
+	report, err := d.report()
+	if err != nil {
+		return err
+	}
+	runs := int(report.GetOrdersRun())
+	d.printf("stand-ins: %d orders ran, %d ran more than once\n", runs, len(report.GetDuplicates()))
+	if len(report.GetDuplicates()) > 0 {
+		return eris.Errorf("orders ran more than once: %v", report.GetDuplicates())
+	}
+	if runs < least || runs > most {
+		return eris.Errorf("%d orders ran, want between %d and %d", runs, least, most)
+	}
+	return nil
+}
+
+func hostName(number int) string {
+	return fmt.Sprintf("prairie-west-%d", number+1)
+}
--- /dev/null
+++ b/internal/dccommand/dcdemocommand/files.go
@@ -0,0 +1,230 @@
+package dcdemocommand
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/hex"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcauth"
+	"github.com/dandelioncart/dandelioncart/internal/dcsettings"
+	"github.com/dandelioncart/dandelioncart/internal/dcstandin"
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+)
+
+const (
+	addressLifetime = 300 * time.Millisecond
+	stopTimeout     = 10 * time.Second
+	credentialBytes = 16
+	certificateLife = time.Hour
+)
+
+// freeAddresses returns caller and peer addresses on free loopback ports.
+func freeAddresses(hosts int) (callers, peers []string, err error) {
+	var addresses []string
+	for range 2 * hosts {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, nil, err
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses[:hosts], addresses[hosts:], nil
+}
+
+// write writes a message as JSON, which is YAML.
+func (d *deployment) write(name string, message proto.Message) error {
+	text, err := protojson.Marshal(message)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(d.path(name), text, 0o600)
+}
+
+// writeProfile writes the example profile with free ports.
+func (d *deployment) writeProfile(tierHosts []string) error {
+	text, err := os.ReadFile(filepath.Join(d.options.Examples, "standin", "prairie-west.yaml"))
+	if err != nil {
+		return err
+	}
+	profile, err := dcstandin.ParseProfile(text)
+	if err != nil {
+		return err
+	}
+	profile.StoreListen, profile.HostListListen, profile.AdminListen = "", "", ""
+	profile.TierHosts = tierHosts
+	for _, group := range profile.GetGroups() {
+		group.FirstPort = 0
+	}
+	return d.write("profile.yaml", profile)
+}
+
+// writeFiles writes certificates, configuration and host settings.
+func (d *deployment) writeFiles(callers, peers []string) error {
+	if err := d.writeCertificates(); err != nil {
+		return err
+	}
+	bootstrap, err := d.writeConfiguration()
+	if err != nil {
+		return err
+	}
+	files := &settingsv1.TLSSettings{
+		CertificateFile: d.path("certificate.pem"),
+		KeyFile:         d.path("key.pem"),
+		AuthorityFile:   d.path("authority.pem"),
+	}
+	domains := []string{"regina-a", "saskatoon-b", "calgary-c"}
+	for i := range callers {
+		settings := &settingsv1.HostSettings{
+			HostId:                    hostName(i),
+			FailureDomain:             domains[i%len(domains)],
+			Callers:                   &settingsv1.Listener{Listen: callers[i]},
+			Peers:                     &settingsv1.Listener{Listen: peers[i]},
+			Store:                     &settingsv1.StoreSettings{Endpoints: []string{d.ready.GetStore()}, Prefix: "demo/"},
+			HostList:                  &settingsv1.HostListSettings{Url: d.ready.GetHostList()},
+			PeerTls:                   files,
+			CallerTls:                 files,
+			AddressLifetime:           durationpb.New(addressLifetime),
+			StopTimeout:               durationpb.New(stopTimeout),
+			BootstrapCredentialDigest: bootstrap,
+		}
+		for j, peer := range peers {
+			if j != i {
+				settings.SeedPeers = append(settings.SeedPeers, peer)
+			}
+		}
+		d.settings = append(d.settings, settings)
+		if err := d.write(settings.GetHostId()+".yaml", settings); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writeConfiguration writes the example configuration with the servers of the
+// stand-ins and new credentials. It returns the digest of the administrator's
+// credential.
+func (d *deployment) writeConfiguration() (bootstrap string, err error) {
+	name := filepath.Join(d.options.Examples, "prairie-west", "configuration.yaml")
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return "", err
+	}
+	configuration, err := dcsettings.ParseConfiguration(name, text)
+	if err != nil {
+		return "", err
+	}
+	configuration.EntryHosts = int32(d.options.Hosts)
+	d.credentials = map[string]string{}
+	for _, department := range configuration.GetDepartments() {
+		digest, err := d.newCredential(department.GetName())
+		if err != nil {
+			return "", err
+		}
+		department.CredentialDigests = []string{digest}
+		if department.GetName() == administrator {
+			bootstrap = digest
+		}
+	}
+	for _, group := range configuration.GetServiceGroups() {
+		for _, ready := range d.ready.GetGroups() {
+			if ready.GetName() == group.GetName() {
+				group.Services = ready.GetServices()
+			}
+		}
+	}
+	return bootstrap, d.write("configuration.yaml", configuration)
+}
+
+func (d *deployment) newCredential(department string) (digest string, err error) {
+	secret := make([]byte, credentialBytes)
+	if _, err := io.ReadFull(d.random, secret); err != nil {
+		return "", err
+	}
+	d.credentials[department] = hex.EncodeToString(secret)
+	return dcauth.NewDigest(d.random, d.credentials[department])
+}
+
+// writeCertificates writes an authority and one certificate for 127.0.0.1, and
+// makes a client that trusts the authority.
+func (d *deployment) writeCertificates() error {
+	authorityKey, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	authority := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		Subject:               pkix.Name{CommonName: "demo authority"},
+		NotBefore:             now.Add(-time.Minute),
+		NotAfter:              now.Add(certificateLife),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return err
+	}
+	leaf := &x509.Certificate{
+		SerialNumber: big.NewInt(2),
+		Subject:      pkix.Name{CommonName: "demo host"},
+		NotBefore:    authority.NotBefore,
+		NotAfter:     authority.NotAfter,
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	authorityDER, err := x509.CreateCertificate(rand.Reader, authority, authority, authorityKey.Public(), authorityKey)
+	if err != nil {
+		return err
+	}
+	leafDER, err := x509.CreateCertificate(rand.Reader, leaf, authority, key.Public(), authorityKey)
+	if err != nil {
+		return err
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return err
+	}
+	for name, block := range map[string]*pem.Block{
+		"authority.pem":   {Type: "CERTIFICATE", Bytes: authorityDER},
+		"certificate.pem": {Type: "CERTIFICATE", Bytes: leafDER},
+		"key.pem":         {Type: "PRIVATE KEY", Bytes: keyDER},
+	} {
+		if err := os.WriteFile(d.path(name), pem.EncodeToMemory(block), 0o600); err != nil {
+			return err
+		}
+	}
+	return d.trust(authorityDER)
+}
+
+func (d *deployment) trust(authorityDER []byte) error {
+	authority, err := x509.ParseCertificate(authorityDER)
+	if err != nil {
+		return err
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(authority)
+	d.client = &http.Client{Transport: &http.Transport{
+		TLSClientConfig:     &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13},
+		MaxIdleConnsPerHost: 64,
+	}}
+	return nil
+}
--- /dev/null
+++ b/internal/dccommand/dcdemocommand/kill.go
@@ -0,0 +1,199 @@
+package dcdemocommand
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dandelioncart/dandelioncart/internal/dccommand"
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+)
+
+const (
+	loadWorkers  = 8
+	loadInterval = 20 * time.Millisecond
+	// orderEvery is the share of orders in the load.
+	orderEvery = 4
+	killedHost = 2
+)
+
+// tally counts what the load saw, under its own lock.
+type tally struct {
+	mu         sync.Mutex
+	queries    int
+	complete   int
+	partial    int
+	refused    int
+	lost       int
+	orders     map[string]int
+	reasons    map[string]int
+	violations []string
+	latencies  []time.Duration
+	unsettled  []string
+}
+
+func (t *tally) locked(change func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change()
+}
+
+// killOne kills one host under load and checks all answers.
+func (d *deployment) killOne(ctx context.Context) error {
+	count := &tally{orders: map[string]int{}, reasons: map[string]int{}}
+	load, cancel := context.WithTimeout(ctx, d.options.Load)
+	defer cancel()
+	var workers sync.WaitGroup
+	for worker := range loadWorkers {
+		workers.Go(func() { d.work(ctx, load, worker, count) })
+	}
+	select {
+	case <-time.After(d.options.Load / 3):
+	case <-ctx.Done():
+	}
+	killed := d.hosts[killedHost%len(d.hosts)]
+	d.printf("killing %s, process %d\n", killed.name, killed.command.Process.Pid)
+	killed.signal(syscall.SIGKILL)
+	<-killed.done
+	killed.ended = true
+	workers.Wait()
+	if err := d.settle(ctx, count); err != nil {
+		return err
+	}
+	return d.judge(count)
+}
+
+// work sends requests to the hosts in turn until the load ends.
+func (d *deployment) work(ctx, load context.Context, worker int, count *tally) {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-load.Done():
+			return
+		case <-ticker.C:
+		}
+		if (i+worker)%orderEvery == 0 {
+			d.oneOrder(ctx, (i+worker)%len(d.hosts), count)
+		} else {
+			d.oneQuery(ctx, (i+worker)%len(d.hosts), fmt.Sprintf("rye-%d", i%50), count)
+		}
+	}
+}
+
+// next tries the hosts in order, as a caller with an address answer does.
+func next(host, hosts int, send func(host int) error) (err error) {
+	for i := range hosts {
+		err = send((host + i) % hosts)
+		if !errors.Is(err, dccommand.ErrNotSent) {
+			return err
+		}
+	}
+	return err
+}
+
+func (d *deployment) oneQuery(ctx context.Context, host int, body string, count *tally) {
+	var answer *callerv1.QueryResponse
+	var elapsed time.Duration
+	err := next(host, len(d.hosts), func(host int) (err error) {
+		answer, elapsed, err = d.query(ctx, host, body)
+		return err
+	})
+	count.locked(func() {
+		count.queries++
+		if err != nil {
+			count.lost++
+			return
+		}
+		count.reasons[answer.GetResult().GetReason()]++
+		count.latencies = append(count.latencies, elapsed)
+		if err := checkQuery(answer, body, d.shards()); err != nil {
+			count.violations = append(count.violations, err.Error())
+		}
+		_, missing := coverageOf(answer)
+		switch {
+		case len(answer.GetShards()) == 0:
+			count.refused++
+		case missing == 0:
+			count.complete++
+		default:
+			count.partial++
+		}
+	})
+}
+
+func (d *deployment) oneOrder(ctx context.Context, host int, count *tally) {
+	key := newKey()
+	var answer *callerv1.OrderResponse
+	err := next(host, len(d.hosts), func(host int) (err error) {
+		answer, _, err = d.order(ctx, host, key)
+		return err
+	})
+	count.locked(func() {
+		outcome := "lost"
+		if err == nil {
+			outcome = answer.GetResult().GetOutcome()
+			count.reasons[answer.GetResult().GetReason()]++
+		}
+		count.orders[outcome]++
+		if outcome == "lost" || outcome == "unknown" {
+			count.unsettled = append(count.unsettled, key)
+		}
+	})
+}
+
+// settle looks up and sends again every order whose outcome was not learned.
+// None may run a second time.
+func (d *deployment) settle(ctx context.Context, count *tally) error {
+	for _, key := range count.unsettled {
+		var answer *callerv1.OrderResponse
+		err := next(0, len(d.hosts), func(host int) (err error) {
+			answer, err = d.lookup(ctx, host, key)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		d.printf("order %s looked up: %s %s\n", key, answer.GetResult().GetOutcome(), answer.GetResult().GetReason())
+		err = next(0, len(d.hosts), func(host int) (err error) {
+			answer, _, err = d.order(ctx, host, key)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		d.printf("order %s sent again: %s %s\n", key, answer.GetResult().GetOutcome(), answer.GetResult().GetReason())
+		if answer.GetResult().GetOutcome() == "ran" {
+			count.orders["ran later"]++
+		}
+	}
+	return nil
+}
+
+// judge prints the counts and compares them with the stand-ins.
+func (d *deployment) judge(count *tally) error {
+	slices.Sort(count.latencies)
+	quantile := func(q float64) time.Duration {
+		if len(count.latencies) == 0 {
+			return 0
+		}
+		return count.latencies[int(q*float64(len(count.latencies)-1))].Round(10 * time.Microsecond)
+	}
+	d.printf("queries: %d, complete %d, partial %d, refused %d, lost with the host %d\n", count.queries, count.complete, count.partial, count.refused, count.lost)
+	d.printf("query latency: p50 %s, p99 %s, max %s\n", quantile(0.5), quantile(0.99), quantile(1))
+	d.printf("orders by outcome: %v; reasons: %v\n", count.orders, count.reasons)
+	if len(count.violations) > 0 {
+		return eris.Errorf("%d untruthful answers, for example: %s", len(count.violations), count.violations[0])
+	}
+	if count.complete+count.partial == 0 || count.orders["ran"] == 0 {
+		return eris.New("no query or no order was answered")
+	}
+	ran := count.orders["ran"] + count.orders["ran later"]
+	return d.checkRuns(ran, ran+len(count.unsettled))
+}
