--- a/internal/dccommand/dcdemocommand/files.go
+++ b/internal/dccommand/dcdemocommand/files.go
@@ -59,11 +59,12 @@
 
 // writeProfile writes the example profile with free ports.
 func (d *deployment) writeProfile(tierHosts []string) error {
-	text, err := os.ReadFile(filepath.Join(d.options.Examples, "standin", "prairie-west.yaml"))
+	path := filepath.Join(d.options.Examples, "standin", "prairie-west.yaml")
+	text, err := os.ReadFile(path)
 	if err != nil {
 		return err
 	}
-	profile, err := dcstandin.ParseProfile(text)
+	profile, err := dcstandin.ParseProfile(path, text)
 	if err != nil {
 		return err
 	}
