Send a result in the address answers of the client tests

Cause: address answers carry a result since the caller API was written, and the client refuses answers without one; the fake tier of the tests still spoke the older message. No assertion changes.

--- a/pkg/dcclient/client_test.go
+++ b/pkg/dcclient/client_test.go
@@ -60,7 +60,8 @@
 	found := &tier{}
 	found.entry = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		found.asked.Add(1)
-		_ = json.NewEncoder(w).Encode(map[string]any{"addresses": list, "lifetime-ms": lifetime.Milliseconds()})
+		_ = json.NewEncoder(w).Encode(map[string]any{"addresses": list, "lifetime-ms": lifetime.Milliseconds(),
+			"result": map[string]any{"outcome": "ran", "reason": "ok"}})
 	}))
 	t.Cleanup(found.entry.Close)
 	return found
