Report refused address answers on the command line

Cause: address answers gained a result, so that a refusal became a message of its own and the command printed 'valid for 0s' with exit 0. Ruled out: dropping the result from the message, which all other answers have. Check: testdata/requests expects exit 6 and passes again.

--- a/internal/dccommand/dcaddressescommand/addresses.go
+++ b/internal/dccommand/dcaddressescommand/addresses.go
@@ -39,6 +39,11 @@
 	if err := o.Repeatable(ctx, tool, request, answer); err != nil {
 		return err
 	}
+	if result := answer.GetResult(); result != nil {
+		if err := dccommand.CheckResult(result); err != nil {
+			return err
+		}
+	}
 	if o.JSON {
 		return dccommand.WriteJSON(tool.Out, answer)
 	}
--- a/internal/dcexperiment/dcexperiment.go
+++ b/internal/dcexperiment/dcexperiment.go
@@ -16,8 +16,8 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/dandelioncart/dandelioncart/internal/dclocal"
 	"github.com/dandelioncart/dandelioncart/internal/dcload"
+	"github.com/dandelioncart/dandelioncart/internal/dclocal"
 	"github.com/dandelioncart/dandelioncart/internal/dcsettings"
 	benchv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/bench/v1"
 	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
--- a/internal/dcexperiment/session.go
+++ b/internal/dcexperiment/session.go
@@ -7,8 +7,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/dandelioncart/dandelioncart/internal/dclocal"
 	"github.com/dandelioncart/dandelioncart/internal/dcload"
+	"github.com/dandelioncart/dandelioncart/internal/dclocal"
 	"github.com/dandelioncart/dandelioncart/internal/dcsettings"
 	benchv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/bench/v1"
 	standinv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/standin/v1"
