--- a/internal/dclocal/configuration.go
+++ b/internal/dclocal/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/rand"
+	"encoding/json"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -103,9 +104,29 @@
 }
 
 // document returns the configuration as a document that config apply accepts;
-// JSON is YAML, and its durations are Go duration text. Zero values are left
-// out and take their defaults.
+// JSON is YAML, and its durations are Go duration text. Zero values that differ
+// from their defaults are written out, since protojson leaves them out.
 func document(configuration *settingsv1.Configuration) (text string, err error) {
+	defer func() { err = eris.Wrap(err, "write configuration") }()
 	encoded, err := protojson.Marshal(configuration)
-	return string(encoded), eris.Wrap(err, "write configuration")
+	if err != nil {
+		return "", err
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(encoded, &fields); err != nil {
+		return "", err
+	}
+	groups, _ := fields["service-groups"].([]any)
+	for index, group := range configuration.GetServiceGroups() {
+		if values, ok := groups[index].(map[string]any); ok && group.GetKind() == dcsettings.KindQuery {
+			values["hedge-quantile"] = group.GetHedgeQuantile()
+			values["extra-load"] = group.GetExtraLoad()
+			values["quarantine"] = map[string]any{
+				"canary":   group.GetQuarantine().GetCanary(),
+				"duration": group.GetQuarantine().GetDuration().AsDuration().String(),
+			}
+		}
+	}
+	encoded, err = json.Marshal(fields)
+	return string(encoded), err
 }
