Test that the limit follows lost upstreams and shedding

The recovery table bounds the limit from above, and a test of the limiter covers shedding; both fail without their mechanism.

--- a/internal/dcadmission/queue.go
+++ b/internal/dcadmission/queue.go
@@ -158,7 +158,8 @@
 	return q.decisions
 }
 
-// Next returns when Timer must be called, or the zero time.
+// Next returns when Timer must be called, or the zero time. Any other call may
+// change it.
 func (q *Queue) Next() time.Time {
 	if len(q.deadlines) == 0 {
 		return time.Time{}
--- a/internal/dcadmission/queue_test.go
+++ b/internal/dcadmission/queue_test.go
@@ -83,7 +83,8 @@
 }
 
 // TestRecovery guards against a limit that climbs by small steps after an
-// outage, or does not use the capacity that a lost peer leaves.
+// outage, does not use the capacity that a lost peer leaves, or does not follow
+// the loss of upstreams.
 func TestRecovery(t *testing.T) {
 	const change = 8 * time.Second
 	tests := []struct {
@@ -116,12 +117,30 @@
 		r.run(recovered + time.Second)
 		goodput := r.goodput("bakers", time.Second) / float64(test.after)
 		t.Logf("seed %d, %s: goodput %.3f, limit %d", testSeed, test.name, goodput, limit)
-		if goodput < 0.9 || limit < test.after*9/10 {
+		if goodput < 0.9 || limit < test.after*9/10 || limit > test.after*3/2 {
 			t.Errorf("seed %d, %s: goodput %.3f of capacity, limit %d", testSeed, test.name, goodput, limit)
 		}
 	}
 }
 
+// TestShedLowersLimit guards against a limit that ignores upstreams which shed
+// without a queue time.
+func TestShedLowersLimit(t *testing.T) {
+	var limits limiter
+	limits.configure(2, 100)
+	now, high := start, 0
+	for i := range 4000 {
+		now = now.Add(serviceTime)
+		limits.saturated = true
+		shed := i >= 2000
+		limits.observe(observation{Sample: Sample{Overloaded: shed}, started: now, elapsed: serviceTime}, now)
+		high = max(high, limits.limit())
+	}
+	if high != 100 || limits.limit() != 2 {
+		t.Errorf("limit %d before and %d after upstreams shed", high, limits.limit())
+	}
+}
+
 // steady returns a queue that knows the service time, runs one request at a
 // time and has one running.
 func steady(t *testing.T, maxQueue int) *Queue {
