--- a/internal/dcadmission/rig_test.go
+++ b/internal/dcadmission/rig_test.go
@@ -65,6 +65,12 @@
 	return r
 }
 
+// measure runs for a time and counts only what happens in it.
+func (r *rig) measure(over time.Duration) {
+	r.clear()
+	r.run(r.now.Sub(start) + over)
+}
+
 // clear forgets what was counted so far.
 func (r *rig) clear() {
 	r.good, r.late, r.most = make(map[dcid.Department]int), 0, 0
--- /dev/null
+++ b/internal/dcquery/canary_test.go
@@ -0,0 +1,57 @@
+package dcquery
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcbudget"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+)
+
+// TestCanary guards against a request that crashes each server that runs it.
+func TestCanary(t *testing.T) {
+	crash := fail(dcreason.Unknown, dcreason.UpstreamCrashed)
+	shed := fail(dcreason.NotRun, dcreason.UpstreamShed)
+	timeout := fail(dcreason.Unknown, dcreason.OutcomeUnknown)
+	tests := []struct {
+		name    string
+		replies []reply
+		retry   bool
+		// sent is the number of transmissions of a query with 10 shards.
+		sent, suspects int
+		code           dcreason.Code
+	}{
+		{"succeeds", nil, false, 10, 0, dcreason.OK},
+		{"crashes, no retry", []reply{crash}, false, 1, 1, dcreason.UpstreamCrashed},
+		{"crashes once", []reply{crash}, true, 11, 1, dcreason.OK},
+		{"crashes twice", []reply{crash, crash}, true, 2, 2, dcreason.UpstreamCrashed},
+		{"crashes, then refused", []reply{crash, shed}, true, 2, 1, dcreason.UpstreamCrashed},
+		{"refused", []reply{shed}, true, 11, 0, dcreason.OK},
+		{"no answer", []reply{timeout}, true, 1, 0, dcreason.OutcomeUnknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			options := testOptions(1)
+			options.Budget = dcbudget.NewGroup(0.9, 0.05).NewBudget()
+			options.Canary = true
+			options.RetryCanary = func(dcid.ServerAddr) bool { return test.retry }
+			r := rig{}
+			r.serve = func(send Action) reply {
+				if len(r.sends) <= len(test.replies) {
+					return test.replies[len(r.sends)-1]
+				}
+				return ok(send.Label, time.Millisecond)
+			}
+			pin := testPin(10, "v1", 1)
+			answer := r.run(t, New(pin, options), epoch)
+			checkCoverage(t, pin, answer)
+			if answer.Code != test.code || answer.Stats.Sent != test.sent || len(r.suspects) != test.suspects {
+				t.Errorf("code %s, %d sent, suspects %v", answer.Code, answer.Stats.Sent, r.suspects)
+			}
+			if len(r.suspects) == 2 && r.suspects[0] == r.suspects[1] {
+				t.Errorf("server %s was sent the request twice", r.suspects[0])
+			}
+		})
+	}
+}
