--- a/internal/dcaddress/address.go
+++ b/internal/dcaddress/address.go
@@ -44,12 +44,37 @@
 	// Weight gives a host its share of callers; nil means equal shares.
 	Weight func(dcid.HostID) float64
 	Random *rand.Rand
+
+	version uint64
+	steered map[Group][]dcmembership.Host
+}
+
+// maxGroups bounds the cache of steered hosts.
+const maxGroups = 1024
+
+// Current answers as Answer does, from a membership whose version tells when its
+// hosts have changed. It ranks the hosts once for each group and version, since
+// ranking 1,300 hosts takes longer than all other steps together.
+func (a *Answerer) Current(group Group, version uint64, hosts func() []dcmembership.Host) Answer {
+	if a.steered == nil || a.version != version || len(a.steered) >= maxGroups {
+		a.steered = map[Group][]dcmembership.Host{}
+		a.version = version
+	}
+	steered, ok := a.steered[group]
+	if !ok {
+		steered = a.Steer(group, usable(hosts()))
+		a.steered[group] = steered
+	}
+	return a.order(slices.Clone(steered))
 }
 
 // Answer returns the addresses for a caller of the group. It is empty only when
 // hosts is.
 func (a *Answerer) Answer(group Group, hosts []dcmembership.Host) Answer {
-	steered := a.Steer(group, usable(hosts))
+	return a.order(a.Steer(group, usable(hosts)))
+}
+
+func (a *Answerer) order(steered []dcmembership.Host) Answer {
 	a.shuffle(steered)
 	answer := Answer{Lifetime: cmp.Or(a.Lifetime, defaultLifetime)}
 	for _, host := range steered {
--- a/internal/dcaddress/address_test.go
+++ b/internal/dcaddress/address_test.go
@@ -102,6 +102,13 @@
 			t.Fatalf("%d hosts are new when one leaves", len(moved))
 		}
 	}
+	reads := 0
+	read := func() []dcmembership.Host { reads++; return hosts }
+	for n := range 10 {
+		if got := len(a.Current(Group{Name: "group", Servers: 310}, uint64(n/5), read).Addresses); got != 41 || reads != n/5+1 {
+			t.Fatalf("%d addresses after %d reads of the membership", got, reads)
+		}
+	}
 	if got := len(a.Steer(Group{Name: "small", Servers: 3}, hosts)); got != 8 {
 		t.Fatalf("%d hosts for a small group, want 8", got)
 	}
