--- /dev/null
+++ b/internal/dcledger/committer_test.go
@@ -0,0 +1,99 @@
+package dcledger
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcstore"
+	ledgerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/ledger/v1"
+)
+
+const testKey = "019cad6b-2e00-7abc-8def-01234567890"
+
+var replies = map[string]error{
+	"ok": nil, "absent": dcstore.ErrNotFound, "conflict": dcstore.ErrConflict,
+	"unavailable": dcstore.ErrUnavailable, "lost": dcstore.ErrUnknownOutcome,
+}
+
+// Guards the order of store calls and answers: group commit, conflict, lost
+// reply, breaker and record retry. Each command prints the actions it caused.
+func TestCommitter(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		config := DefaultCommitterConfig()
+		config.Host = "h"
+		c := NewCommitter(config, rand.New(rand.NewPCG(1, 1)))
+		_, now, _ := ParseKey(testKey + "0")
+		start := now
+		stored := map[CallID][]byte{}
+		value := []byte(nil)
+		var ticket Ticket
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var actions []Action
+			for _, line := range strings.Fields(strings.ReplaceAll(d.Input, " ", "/")) {
+				var number int
+				var operation, state string
+				fmt.Sscan(strings.ReplaceAll(line, "/", " "), &number, &operation, &state)
+				work := entry(operation, "x", ledgerv1.EntryState(ledgerv1.EntryState_value["ENTRY_STATE_"+state]))
+				work.Key = fmt.Sprint(testKey, number)
+				work.DispatchDeadlineMs = start.Add(time.Second).UnixMilli()
+				ticket++
+				switch d.Cmd {
+				case "claim":
+					actions = append(actions, c.Claim(now, ticket, work)...)
+				case "record":
+					actions = append(actions, c.Record(now, ticket, work)...)
+				}
+			}
+			switch d.Cmd {
+			case "reply":
+				var call int
+				var kind string
+				d.ScanArgs(t, "call", &call)
+				d.ScanArgs(t, "as", &kind)
+				effect := d.HasArg("effect")
+				if swap, ok := stored[CallID(call)]; ok && effect {
+					value = swap
+				}
+				reply := StoreReply{Call: CallID(call), Err: replies[kind], Record: dcstore.Record{Value: value, Modified: 5}, Modified: 6}
+				actions = c.StoreReplied(now, reply)
+			case "wait":
+				var duration string
+				d.ScanArgs(t, "for", &duration)
+				step, _ := time.ParseDuration(duration)
+				now = now.Add(step)
+				actions = c.Tick(now)
+			}
+			return describe(actions, stored, start)
+		})
+	})
+}
+
+func describe(actions []Action, stored map[CallID][]byte, start time.Time) string {
+	var out strings.Builder
+	for _, action := range actions {
+		switch action := action.(type) {
+		case GetSegment:
+			fmt.Fprintf(&out, "get call=%d\n", action.Call)
+		case SwapSegment:
+			var segment ledgerv1.Segment
+			_ = proto.Unmarshal(action.Swap.Value, &segment)
+			stored[action.Call] = action.Swap.Value
+			fmt.Fprintf(&out, "swap call=%d expected=%d entries=%d commits=%d\n",
+				action.Call, action.Swap.Expected, len(segment.Entries), len(segment.Commits))
+		case Answer:
+			state := strings.TrimPrefix(action.Result.Entry.GetState().String(), "ENTRY_STATE_")
+			fmt.Fprintf(&out, "answer %d: %s %s %s may-exist=%v\n",
+				action.Ticket, action.Result.Code, state, action.Result.Entry.GetOperationId(), action.Result.MayExist)
+		}
+	}
+	if out.Len() == 0 {
+		return "nothing"
+	}
+	return out.String()
+}
--- /dev/null
+++ b/internal/dcledger/rules_test.go
@@ -0,0 +1,139 @@
+package dcledger
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	"github.com/dandelioncart/dandelioncart/internal/dcstore"
+	ledgerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/ledger/v1"
+)
+
+// Guards against keys that are run although their outcome may be deleted, and
+// against two spellings of one key.
+func TestKeyChecks(t *testing.T) {
+	const key = "019cad6b-2e00-7abc-8def-0123456789ab"
+	_, issued, _ := ParseKey(key)
+	for _, c := range []struct {
+		raw  dcid.OrderKey
+		now  time.Time
+		want dcreason.Code
+	}{
+		{key, issued, dcreason.OK},
+		{"019CAD6B-2E00-7ABC-8DEF-0123456789AB", issued, dcreason.OK},
+		{"{019cad6b-2e00-7abc-8def-0123456789ab}", issued, dcreason.KeyMalformed},
+		{"019cad6b2e007abc8def0123456789ab", issued, dcreason.KeyMalformed},
+		{"019cad6b-2e00-4abc-8def-0123456789ab", issued, dcreason.KeyMalformed},
+		{"019cad6b-2e00-7abc-cdef-0123456789ab", issued, dcreason.KeyMalformed},
+		{key, issued.Add(-ClockAllowance), dcreason.OK},
+		{key, issued.Add(-ClockAllowance - 1), dcreason.KeyFromFuture},
+		{key, issued.Add(testRetention), dcreason.OK},
+		{key, issued.Add(testRetention + 1), dcreason.KeyExpired},
+	} {
+		parsed, at, code := ParseKey(c.raw)
+		if code == dcreason.OK {
+			code = CheckAge(at, c.now, testRetention)
+		}
+		if code != c.want || code == dcreason.OK && parsed != key {
+			t.Errorf("%s at %v: %s %q, want %s", c.raw, c.now, code, parsed, c.want)
+		}
+	}
+}
+
+// Guards against segments that are deleted while a host may still accept their
+// keys, and against deleting keys of others.
+func TestRetention(t *testing.T) {
+	r := Retention{Keys: testRetention, Margin: RetentionMargin}
+	minute := MinuteOf(base)
+	records := []dcstore.Record{
+		{Key: SegmentKey("p/", 1, minute), Modified: 7},
+		{Key: SegmentKey("p/", 1, minute+1), Modified: 8},
+		{Key: "p/ledger/1/other", Modified: 9},
+		{Key: SegmentKey("p/", 2, minute), Modified: 10},
+	}
+	due := base.Add(time.Minute + testRetention + RetentionMargin)
+	if refs := r.Deletable("p/", 1, records, due.Add(-1)); len(refs) != 0 {
+		t.Errorf("deleted early: %v", refs)
+	}
+	if refs := r.Deletable("p/", 1, records, due); len(refs) != 1 || refs[0].Modified != 7 {
+		t.Errorf("got %v, want the oldest segment only", refs)
+	}
+	if at, ok := r.NextDeletion("p/", 1, records); !ok || !at.Equal(due) {
+		t.Errorf("next deletion at %v, want %v", at, due)
+	}
+}
+
+func entry(operation, digest string, state ledgerv1.EntryState) *ledgerv1.Entry {
+	return &ledgerv1.Entry{
+		Department: "bakery", Key: "k", OperationId: operation, BodyDigest: []byte(digest), State: state, Attempt: 1,
+		DispatchDeadlineMs: base.Add(time.Second).UnixMilli(),
+	}
+}
+
+// Guards against a claim that takes a key it must not have.
+func TestClaimRules(t *testing.T) {
+	const (
+		claimed = ledgerv1.EntryState_ENTRY_STATE_CLAIMED
+		ran     = ledgerv1.EntryState_ENTRY_STATE_RAN
+		notRun  = ledgerv1.EntryState_ENTRY_STATE_NOT_RUN
+		unknown = ledgerv1.EntryState_ENTRY_STATE_UNKNOWN
+	)
+	for _, c := range []struct {
+		name        string
+		existing    *ledgerv1.Entry
+		now         time.Time
+		wantClaimed bool
+		wantAttempt uint32
+	}{
+		{"absent", nil, base, true, 1},
+		{"absent, deadline passed", nil, base.Add(time.Second), false, 0},
+		{"own claim", entry("a", "x", claimed), base, true, 1},
+		{"own claim, resent late", entry("a", "x", claimed), base.Add(time.Hour), true, 1},
+		{"own not-run", entry("a", "x", notRun), base, false, 1},
+		{"claimed by another", entry("b", "x", claimed), base, false, 1},
+		{"claimed by another, deadline passed", entry("b", "x", claimed), base.Add(900 * time.Millisecond), false, 1},
+		{"ran", entry("b", "x", ran), base, false, 1},
+		{"unknown", entry("b", "x", unknown), base, false, 1},
+		{"not-run", entry("b", "x", notRun), base, true, 2},
+		{"not-run, other body", entry("b", "y", notRun), base, false, 1},
+	} {
+		segment := &ledgerv1.Segment{}
+		if c.existing != nil {
+			segment.Entries = append(segment.Entries, c.existing)
+		}
+		before := proto.CloneOf(segment)
+		claim := entry("a", "x", claimed)
+		result, changed := applyClaim(segment, claim, c.now)
+		if Claimed(claim, result) != c.wantClaimed || result.Entry.GetAttempt() != c.wantAttempt {
+			t.Errorf("%s: got %v", c.name, result)
+		}
+		if changed == proto.Equal(before, segment) {
+			t.Errorf("%s: changed is %v", c.name, changed)
+		}
+	}
+}
+
+// Guards against segments that outgrow the store's value size: claims are
+// refused while each accepted one still has room for its result.
+func TestSegmentIsBounded(t *testing.T) {
+	segment := &ledgerv1.Segment{}
+	for {
+		claim := entry("a", "x", ledgerv1.EntryState_ENTRY_STATE_CLAIMED)
+		claim.Key = time.Duration(len(segment.Entries)).String()
+		if result, _ := applyClaim(segment, claim, base); result.Code != dcreason.OK {
+			if result.Code != dcreason.QueueFull || result.MayExist {
+				t.Fatalf("refused with %v", result)
+			}
+			break
+		}
+	}
+	for _, claim := range segment.Entries {
+		applyRecord(segment, outcomeRecord(claim, ledgerv1.EntryState_ENTRY_STATE_RAN, make([]byte, 3*MaxResultBytes)))
+	}
+	if size := proto.Size(segment); size > MaxClaimBytes || len(segment.Entries) < 100 {
+		t.Errorf("%d entries in %d bytes", len(segment.Entries), size)
+	}
+}
