--- a/internal/dchost/host.go
+++ b/internal/dchost/host.go
@@ -86,7 +86,7 @@
 	random      *rand.Rand
 	life        context.Context
 	started     time.Time
-	tasks       sync.WaitGroup
+	tasks       taskGroup
 	requests    atomic.Int64
 	background  atomic.Int64
 	overrideOne sync.Once
@@ -295,6 +295,21 @@
 	return h.Clock.Now().Round(0)
 }
 
+// taskGroup counts what runs in the background.
+type taskGroup struct {
+	sync.WaitGroup
+	running atomic.Int64
+}
+
+// Go runs a task.
+func (g *taskGroup) Go(task func()) {
+	g.running.Add(1)
+	g.WaitGroup.Go(func() {
+		defer g.running.Add(-1)
+		task()
+	})
+}
+
 // timeout returns a context that is cancelled after a time of the clock.
 func timeout(ctx context.Context, clock clockwork.Clock, after time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/dchost/seats.go
+++ b/internal/dchost/seats.go
@@ -68,6 +68,7 @@
 		wait := seatRetry
 		if h.view.Load().accepted != nil && h.seatRound(ctx) {
 			wait = seatPeriod
+			h.setLimits()
 		}
 		h.pause(ctx, h.jitter(wait))
 	}
--- a/internal/dchost/target.go
+++ b/internal/dchost/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -41,13 +42,12 @@
 type target struct {
 	addr     dcid.ServerAddr
 	inFlight atomic.Int32
+	polling  atomic.Bool
 
 	mu       sync.Mutex
 	share    dcconnshare.Share
 	groups   []*group
 	operator bool
-	nextPoll time.Time
-	polling  bool
 }
 
 func (t *target) configure(owner *group, limit, seats int, leaving bool) {
@@ -137,40 +137,56 @@
 }
 
 // pollStatus polls every server once in each status interval. Polls are spread
-// over the interval, since all hosts poll the same servers.
+// over the interval in random order, since all hosts poll the same servers.
 func (h *Host) pollStatus(ctx context.Context) error {
-	random := h.newRandom()
+	schedule := pollSchedule{random: h.newRandom()}
 	interval := h.Settings.GetStatusInterval().AsDuration()
 	return h.every(ctx, pollStep, func(ctx context.Context) {
-		now := h.Clock.Now()
-		if !h.seats.active(now) {
+		if !h.seats.active(h.Clock.Now()) {
 			return
 		}
-		for _, target := range h.view.Load().ordered {
-			target.mu.Lock()
-			if target.nextPoll.IsZero() {
-				target.nextPoll = now.Add(time.Duration(random.Float64() * float64(pollSpread)))
-			}
-			due := !target.polling && !now.Before(target.nextPoll)
-			if due {
-				target.polling = true
-				target.nextPoll = now.Add(h.jitter(interval))
-			}
-			target.mu.Unlock()
-			if due {
+		for _, target := range schedule.next(h.view.Load(), interval) {
+			if target.polling.CompareAndSwap(false, true) {
 				h.tasks.Go(func() { h.poll(ctx, target) })
 			}
 		}
 	})
 }
 
+// pollSchedule deals the servers of a view out to the steps of an interval. The
+// first round after a new configuration is shorter.
+type pollSchedule struct {
+	random  *rand.Rand
+	view    *view
+	targets []*target
+	step    int
+	steps   int
+}
+
+func (s *pollSchedule) next(current *view, interval time.Duration) (due []*target) {
+	if current != s.view {
+		s.view = current
+		s.targets = slices.Clone(current.ordered)
+		s.random.Shuffle(len(s.targets), func(i, j int) { s.targets[i], s.targets[j] = s.targets[j], s.targets[i] })
+		s.step, s.steps = 0, int(pollSpread/pollStep)
+	}
+	for i := s.step; i < len(s.targets); i += s.steps {
+		due = append(due, s.targets[i])
+	}
+	s.step++
+	if s.step >= s.steps {
+		s.step, s.steps = 0, max(int(interval/pollStep), 1)
+	}
+	return due
+}
+
 func (h *Host) poll(ctx context.Context, target *target) {
 	asked := h.wall()
 	ctx, cancel := timeout(ctx, h.Clock, pollTimeout)
 	defer cancel()
 	status, err := h.Upstream.Status(ctx, target.addr)
+	target.polling.Store(false)
 	target.mu.Lock()
-	target.polling = false
 	groups := slices.Clone(target.groups)
 	target.mu.Unlock()
 	if context.Cause(ctx) == context.Canceled {
@@ -211,22 +227,31 @@
 
 // applyLimits sets the connection limits and the operator's signals.
 func (h *Host) applyLimits(ctx context.Context) error {
-	limiter, limits := h.Upstream.(ConnectionLimiter)
 	return h.every(ctx, limitsPeriod, func(context.Context) {
-		now := h.Clock.Now()
-		active := h.seats.active(now)
-		open := 0
 		for _, target := range h.view.Load().ordered {
 			h.noteOperator(target)
-			if limits {
-				limiter.SetLimit(target.addr, h.limitOf(target, active, now))
-				open += limiter.Connections(target.addr).Open
-			}
 		}
-		h.meter.connections.Update(float64(open))
+		h.setLimits()
 	})
 }
 
+// setLimits sets the limit of every server. It also runs when the seat changes,
+// so that a host that starts does not wait for the next period.
+func (h *Host) setLimits() {
+	limiter, ok := h.Upstream.(ConnectionLimiter)
+	if !ok {
+		return
+	}
+	now := h.Clock.Now()
+	active := h.seats.active(now)
+	open := 0
+	for _, target := range h.view.Load().ordered {
+		limiter.SetLimit(target.addr, h.limitOf(target, active, now))
+		open += limiter.Connections(target.addr).Open
+	}
+	h.meter.connections.Update(float64(open))
+}
+
 // limitOf returns how many connections this host may use to a server. One is
 // kept for the status of a server that receives no work.
 func (h *Host) limitOf(target *target, active bool, now time.Time) int {
--- /dev/null
+++ b/internal/dchost/tier_test.go
@@ -0,0 +1,318 @@
+package dchost
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"golang.org/x/crypto/argon2"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+	standinv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/standin/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcmembership"
+	"github.com/dandelioncart/dandelioncart/internal/dcpeer"
+	"github.com/dandelioncart/dandelioncart/internal/dcstandin"
+	"github.com/dandelioncart/dandelioncart/internal/dcupstream"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	testCredential = "a credential for tests"
+	testGroup      = "search"
+	testOrders     = "mill"
+	testService    = "mill-01"
+	testSchema     = "2026-06"
+	testShards     = 6
+	clockStep      = 25 * time.Millisecond
+	maxSteps       = 4000
+	maxSpins       = 50000
+)
+
+// tier is a set of hosts in this process, on fake time, over stand-ins on
+// loopback. Time passes only in await.
+type tier struct {
+	t       *testing.T
+	clock   *clockwork.FakeClock
+	fleet   *dcstandin.Fleet
+	network *dcpeer.Network
+	hosts   []*Host
+	stops   []context.CancelFunc
+	ended   []chan error
+	client  *http.Client
+}
+
+func newTier(t *testing.T, hosts int) *tier {
+	t.Helper()
+	clock := clockwork.NewFakeClockAt(time.Date(2026, 6, 1, 8, 0, 0, 0, time.UTC))
+	fleet, err := dcstandin.NewFleet(&standinv1.Profile{
+		FailureDomains: []string{"a", "b", "c"},
+		Groups: []*standinv1.Group{
+			{Name: testGroup, Services: 2, Servers: 3, Slots: 4, QueueLimit: 8, Versions: []string{"v1", "v2"}},
+			{Name: testOrders, Services: 2, Servers: 3, Slots: 4, QueueLimit: 8, Versions: []string{"v1"}},
+		},
+	}, clock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := fleet.Start(); err != nil {
+		t.Fatal(err)
+	}
+	tier := &tier{t: t, clock: clock, fleet: fleet, network: dcpeer.NewNetwork(), client: &http.Client{Transport: &http.Transport{}}}
+	for i := range hosts {
+		tier.startHost(i)
+	}
+	t.Cleanup(tier.close)
+	return tier
+}
+
+func listenLoopback(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+func (r *tier) startHost(number int) {
+	host := New()
+	host.CallerListener, host.PeerListener = listenLoopback(r.t), listenLoopback(r.t)
+	host.Settings = &settingsv1.HostSettings{
+		HostId:                    fmt.Sprintf("host-%d", number),
+		FailureDomain:             string(rune('a' + number%3)),
+		StopTimeout:               durationpb.New(30 * time.Second),
+		AddressLifetime:           durationpb.New(5 * time.Second),
+		HeartbeatInterval:         durationpb.New(time.Second),
+		StatusInterval:            durationpb.New(time.Second),
+		BootstrapCredentialDigest: testDigest(),
+	}
+	if len(r.hosts) > 0 {
+		host.Settings.SeedPeers = []string{r.hosts[0].PeerListener.Addr().String()}
+	}
+	upstream := &dcupstream.Client{Clock: r.clock}
+	host.Store, host.Upstream, host.Clock, host.Log = r.fleet.Platform.Store, upstream, r.clock, zap.NewNop()
+	host.Random, host.Seed = rand.New(rand.NewSource(int64(number))), uint64(number)
+	address := host.PeerListener.Addr().String()
+	host.Peer = r.network.From(address)
+	r.network.Attach(address, peerService{host})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		err := host.Run(ctx)
+		upstream.Close()
+		ended <- err
+	}()
+	r.hosts, r.stops, r.ended = append(r.hosts, host), append(r.stops, stop), append(r.ended, ended)
+}
+
+func (r *tier) close() {
+	for i, host := range r.hosts {
+		host.StopNow()
+		r.stops[i]()
+	}
+	for _, ended := range r.ended {
+		r.awaitEnd(ended)
+	}
+	r.client.CloseIdleConnections()
+	r.fleet.Close()
+}
+
+// await lets time pass until a condition holds. Time waits for the background
+// work of the hosts, unless that itself waits for time.
+func (r *tier) await(what string, condition func() bool) {
+	r.t.Helper()
+	for range maxSteps {
+		for _, host := range r.hosts {
+			for spin := 0; spin < maxSpins && host.tasks.running.Load() > 0; spin++ {
+				runtime.Gosched()
+			}
+		}
+		if condition() {
+			return
+		}
+		r.clock.Advance(clockStep)
+		runtime.Gosched()
+	}
+	r.t.Fatalf("%s did not happen within %s", what, maxSteps*clockStep)
+}
+
+func (r *tier) awaitEnd(ended chan error) {
+	for {
+		select {
+		case err := <-ended:
+			if err != nil {
+				r.t.Error(err)
+			}
+			return
+		default:
+			r.clock.Advance(clockStep)
+			runtime.Gosched()
+		}
+	}
+}
+
+// testDigest is an argon2id digest of testCredential with the cheapest
+// parameters.
+func testDigest() string {
+	salt := make([]byte, 8)
+	hash := argon2.IDKey([]byte(testCredential), salt, 1, 8, 1, 16)
+	encode := base64.RawStdEncoding.EncodeToString
+	return fmt.Sprintf("$argon2id$v=19$m=8,t=1,p=1$%s$%s", encode(salt), encode(hash))
+}
+
+func (r *tier) configuration() *settingsv1.Configuration {
+	department := func(name string, administrator bool) *settingsv1.Department {
+		return &settingsv1.Department{Name: name, CredentialDigests: []string{testDigest()}, Administrator: administrator}
+	}
+	configuration := &settingsv1.Configuration{
+		Deployment:       "test",
+		FailureDomains:   []string{"a", "b", "c"},
+		EntryHosts:       int32(len(r.hosts)),
+		LedgerPartitions: 4,
+		Departments:      []*settingsv1.Department{department("operations", true), department("kitchen", false), department("accounts", false)},
+	}
+	for _, ready := range r.fleet.Ready().GetGroups() {
+		group := &settingsv1.ServiceGroup{
+			Name: ready.GetName(), Owner: "kitchen", Kind: "query", Coverage: "complete",
+			Shares:         []*settingsv1.DepartmentShare{{Department: "kitchen", Weight: 1}},
+			SchemaVersions: []string{testSchema}, Slots: 4, Connections: 40, MaxBodyBytes: 1024, MaxQueue: 64,
+			MaxDeadline: durationpb.New(10 * time.Second), Services: ready.GetServices(), HedgeQuantile: 0.95, ExtraLoad: 0.05,
+			Quarantine: &settingsv1.Quarantine{Canary: true, Duration: durationpb.New(time.Minute)},
+			Objectives: []*settingsv1.Objective{{Kind: "coverage", Target: 0.99}},
+		}
+		if ready.GetName() == testOrders {
+			group.Kind, group.KeyRetention, group.Coverage, group.HedgeQuantile = "order", durationpb.New(24*time.Hour), "", 0
+			group.Objectives = []*settingsv1.Objective{{Kind: "latency", Target: 0.99, Threshold: durationpb.New(time.Second)}}
+		}
+		configuration.ServiceGroups = append(configuration.ServiceGroups, group)
+	}
+	return configuration
+}
+
+// start applies the configuration on the first host and waits for all hosts.
+func (r *tier) start() {
+	r.t.Helper()
+	document, err := protojson.Marshal(r.configuration())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	answer := &callerv1.ApplyResponse{}
+	r.await("the first apply", func() bool {
+		return r.call(0, request{department: "operations", path: "/v1/config/apply", message: &callerv1.ApplyRequest{OperationId: "first", Document: string(document)}}, answer) == http.StatusOK
+	})
+	r.await("readiness", func() bool {
+		return !slices.ContainsFunc(r.hosts, func(host *Host) bool { return !host.ready() || !r.knowsAll(host) })
+	})
+}
+
+// knowsAll reports whether a host has heard of every host and its revision.
+func (r *tier) knowsAll(host *Host) bool {
+	known := host.members.hosts()
+	return len(known) == len(r.hosts) && !slices.ContainsFunc(known, func(other dcmembership.Host) bool { return other.Revision != 1 })
+}
+
+// request is one call of a caller; zero fields take the usual values.
+type request struct {
+	department string
+	credential string
+	path       string
+	message    proto.Message
+	body       string
+	timeout    string
+	noTimeout  bool
+}
+
+// call sends a request and reads the answer, whatever its status.
+func (r *tier) call(host int, req request, answer proto.Message) (status int) {
+	r.t.Helper()
+	method, body := http.MethodGet, []byte(nil)
+	if req.message != nil {
+		text, err := protojson.Marshal(req.message)
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		method, body = http.MethodPost, text
+	}
+	if req.body != "" {
+		method, body = http.MethodPost, []byte(req.body)
+	}
+	call, err := http.NewRequest(method, "http://"+r.hosts[host].CallerListener.Addr().String()+req.path, bytes.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	call.SetBasicAuth(or(req.department, "kitchen"), or(req.credential, testCredential))
+	if !req.noTimeout {
+		call.Header.Set(TimeoutHeader, or(req.timeout, "5000"))
+	}
+	response, err := r.client.Do(call)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	proto.Reset(answer)
+	if err := protojson.Unmarshal(text, answer); err != nil {
+		r.t.Fatalf("%s: status %d, %q: %v", req.path, response.StatusCode, text, err)
+	}
+	return response.StatusCode
+}
+
+func or(value, otherwise string) string {
+	if value == "" {
+		return otherwise
+	}
+	return value
+}
+
+// key returns an order key issued at the tier's time plus an offset.
+func (r *tier) key(offset time.Duration) string {
+	id := uuid.Must(uuid.NewV7())
+	ms := r.clock.Now().Add(offset).UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (40 - 8*i))
+	}
+	return id.String()
+}
+
+func (r *tier) query(host int, body string) *callerv1.QueryResponse {
+	r.t.Helper()
+	answer := &callerv1.QueryResponse{}
+	r.call(host, request{path: "/v1/query", message: &callerv1.QueryRequest{ServiceGroup: testGroup, SchemaVersion: testSchema, Body: []byte(body)}}, answer)
+	return answer
+}
+
+func (r *tier) order(host int, key, body string) *callerv1.OrderResponse {
+	r.t.Helper()
+	answer := &callerv1.OrderResponse{}
+	r.call(host, request{path: "/v1/order", message: &callerv1.OrderRequest{ServiceGroup: testOrders, Service: testService, SchemaVersion: testSchema, Key: key, Body: []byte(body)}}, answer)
+	return answer
+}
+
+func (r *tier) lookup(host int, key string) *callerv1.OrderResponse {
+	r.t.Helper()
+	answer := &callerv1.OrderResponse{}
+	r.call(host, request{path: "/v1/orders/" + testOrders + "/" + key}, answer)
+	return answer
+}
