--- a/internal/dccommand/dcdemocommand/kill.go
+++ b/internal/dccommand/dcdemocommand/kill.go
@@ -71,6 +71,8 @@
 
 // work sends requests to the hosts in turn until the load ends.
 func (d *deployment) work(ctx, load context.Context, worker int, count *tally) {
+	// Without an offset the workers would send in bursts.
+	time.Sleep(loadInterval * time.Duration(worker) / loadWorkers)
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	for i := 0; ; i++ {
@@ -79,10 +81,11 @@
 			return
 		case <-ticker.C:
 		}
-		if (i+worker)%orderEvery == 0 {
-			d.oneOrder(ctx, (i+worker)%len(d.hosts), count)
+		host := (i/orderEvery + worker) % len(d.hosts)
+		if i%orderEvery == 0 {
+			d.oneOrder(ctx, host, count)
 		} else {
-			d.oneQuery(ctx, (i+worker)%len(d.hosts), fmt.Sprintf("rye-%d", i%50), count)
+			d.oneQuery(ctx, host, fmt.Sprintf("rye-%d", i%50), count)
 		}
 	}
 }
--- a/internal/dchost/api.go
+++ b/internal/dchost/api.go
@@ -170,6 +170,10 @@
 	if d.code == dcreason.CredentialInvalid {
 		c.writer.Header().Set("WWW-Authenticate", `Basic realm="dandelioncart"`)
 	}
+	if !c.drain.ready() {
+		// The connection would be closed under a later request.
+		c.writer.Header().Set("Connection", "close")
+	}
 	c.writer.Header().Set("Content-Type", "application/json")
 	c.writer.WriteHeader(statusOf(d))
 	_, _ = c.writer.Write(text)
--- a/internal/dchost/stop.go
+++ b/internal/dchost/stop.go
@@ -31,6 +31,12 @@
 	return s.drain.Ready()
 }
 
+func (s *drainState) withdraw() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drain.Withdraw()
+}
+
 func (s *drainState) step(now time.Time, work dcdrain.Work) (dcdrain.Phase, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -45,15 +51,28 @@
 	case <-life.Done():
 		return
 	}
-	if !h.waitForTurn(life) {
-		return
+	for h.waitForTurn(life) {
+		h.drain.mu.Lock()
+		h.drain.drain.Stop(h.Clock.Now())
+		h.drain.mu.Unlock()
+		h.announce(life, dcmembership.Leaving)
+		if h.finishWork(life) {
+			h.announce(life, dcmembership.Gone)
+			return
+		}
+		h.announce(life, dcmembership.Alive)
+	}
+}
+
+// gate decides whether this host may leave. A second signal overrides it.
+func (h *Host) gate() dcdrain.Gate {
+	gate := dcdrain.Gate{Self: h.self.ID, Expected: int(h.view.Load().configuration().GetEntryHosts())}
+	select {
+	case <-h.override:
+		gate.Override = true
+	default:
 	}
-	h.drain.mu.Lock()
-	h.drain.drain.Stop(h.Clock.Now())
-	h.drain.mu.Unlock()
-	h.announce(life, dcmembership.Leaving)
-	h.finishWork(life)
-	h.announce(life, dcmembership.Gone)
+	return gate
 }
 
 // waitForTurn waits while other hosts are away, at most the stop timeout, so
@@ -61,18 +80,13 @@
 func (h *Host) waitForTurn(life context.Context) bool {
 	deadline := h.Clock.Now().Add(h.Settings.GetStopTimeout().AsDuration())
 	for {
-		gate := dcdrain.Gate{Self: h.self.ID, Expected: int(h.view.Load().configuration().GetEntryHosts())}
-		away, ok := gate.Check(h.members.hosts())
+		away, ok := h.gate().Check(h.members.hosts())
 		if ok {
 			return true
 		}
-		select {
-		case <-h.override:
-			return true
-		default:
-		}
 		if !h.Clock.Now().Before(deadline) {
 			h.Log.Warn("stop timeout passed while other hosts are away, leaving anyway", zap.Any("away", away))
+			h.StopNow()
 			return true
 		}
 		if !h.pause(life, stopStep) {
@@ -81,26 +95,27 @@
 	}
 }
 
-// finishWork steps through the sequence until it is done.
-func (h *Host) finishWork(life context.Context) {
-	released := false
+// finishWork steps through the sequence until it is done. It returns false when
+// another host that started to leave at the same time goes first.
+func (h *Host) finishWork(life context.Context) bool {
+	held := 1
 	for {
-		held := 0
-		if !released {
-			held = 1
+		if h.gate().Yield(h.members.hosts()) && h.drain.withdraw() {
+			h.Log.Info("another host leaves first")
+			return false
 		}
 		work := dcdrain.Work{InFlight: int(h.requests.Load() + h.background.Load()), Held: held}
 		phase, forced := h.drain.step(h.Clock.Now(), work)
-		if phase == dcdrain.Released && !released {
-			released = h.release(life)
+		if phase == dcdrain.Released && held > 0 && h.release(life) {
+			held = 0
 			continue
 		}
 		if phase == dcdrain.Done {
 			h.Log.Info("host stopped", zap.Bool("forced", forced))
-			return
+			return true
 		}
 		if !h.pause(life, stopStep) {
-			return
+			return true
 		}
 	}
 }
--- a/internal/dcupstream/classify.go
+++ b/internal/dcupstream/classify.go
@@ -47,12 +47,12 @@
 	}
 }
 
-// contextError returns the error of a context that has ended. The Err method
-// of clockwork's fake contexts waits for the end, so it is not asked earlier.
+// contextError returns why a context has ended. The Err method of clockwork's
+// fake contexts waits for the end, so it is not asked earlier.
 func contextError(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
-		return ctx.Err()
+		return context.Cause(ctx)
 	default:
 		return nil
 	}
--- a/internal/dcupstream/client.go
+++ b/internal/dcupstream/client.go
@@ -179,8 +179,8 @@
 func (c *Client) send(ctx context.Context, call call, labelled func(*http.Response, *Response) bool) (response Response) {
 	response.QueueTime = -1
 	target := c.server(call.server)
-	if err := target.requests.acquire(ctx); err != nil {
-		response.Outcome, response.Code = dcreason.NotRun, contextCode(err)
+	if target.requests.acquire(ctx) != nil {
+		response.Outcome, response.Code = dcreason.NotRun, contextCode(contextError(ctx))
 		return response
 	}
 	defer target.requests.release()
