--- a/internal/dcmembership/members_test.go
+++ b/internal/dcmembership/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -207,6 +208,10 @@
 	c.steps(3)
 	c.cut[[2]int{0, 3}], c.cut[[2]int{3, 0}] = true, true
 	c.members[1].ObserveSeat(testHost(3, 0).ID, 2, c.now)
+	rumor := c.members[0].wire(c.members[3].self, false)
+	rumor.State = string(Suspect)
+	c.members[1].Receive(nil, []*peerv1.Member{rumor}, c.now)
+	c.want(t, 3, Alive, 3)
 	unusable := 0
 	for range 120 {
 		c.step()
@@ -226,6 +231,43 @@
 	}
 }
 
+// Guards against a host that just started and takes all others for gone.
+func TestUnknownHostIsNotGoneAtOnce(t *testing.T) {
+	m := New(testHost(0, 0), Settings{}, rand.New(rand.NewPCG(testSeed, 0)))
+	now := time.Unix(1_700_000_000, 0)
+	var gone []bool
+	for range 2 {
+		for range 2*defaultMissedLimit + 1 {
+			gone = append(gone, m.Gone("host-0009", 1))
+			m.Begin(now)
+		}
+		gone = append(gone, m.Gone("host-0009", 1))
+		m.ObserveStore(nil, now)
+	}
+	if slices.Index(gone, true) != 2*defaultMissedLimit+2 {
+		t.Fatalf("gone at %v, want after the store was read and the intervals have passed", gone)
+	}
+}
+
+// Guards against two sides of a partition that gave each other up for ever.
+func TestSidesFindEachOther(t *testing.T) {
+	c := newCluster(4)
+	c.steps(3)
+	for _, cut := range [][2]int{{0, 2}, {0, 3}, {1, 2}, {1, 3}, {2, 0}, {3, 0}, {2, 1}, {3, 1}} {
+		c.cut[cut] = true
+	}
+	c.steps(5)
+	for _, m := range c.members {
+		m.ObserveStore(nil, c.now)
+	}
+	c.want(t, 3, Gone, 2)
+	c.cut = nil
+	c.steps(5)
+	for n := range c.members {
+		c.want(t, n, Alive, 3)
+	}
+}
+
 // Guards against an announced end that is taken back by a delayed heartbeat.
 func TestStoppedHostStaysGone(t *testing.T) {
 	c := newCluster(4)
@@ -259,15 +301,11 @@
 		}
 		c.step()
 	}
-	wrong := 0
 	for n := range size {
 		if !c.down[n] {
-			wrong += c.count(n, Suspect)
+			c.want(t, n, Suspect, 0)
 		}
 	}
-	if wrong > 0 {
-		t.Fatalf("seed %d: %d accusations of running hosts", testSeed, wrong)
-	}
 	perNode := c.bytes / size / steps
 	t.Logf("two hosts of a dead failure domain known to all after %d intervals, %d B/s sent per node", steps, perNode)
 	if c.largest > defaultMaxMessageBytes || c.targets > 2*defaultFanOut+1 || perNode > 3*2*defaultMaxMessageBytes*7/4 {
@@ -285,11 +323,10 @@
 	for n := range 4000 {
 		key := fmt.Sprintf("partition-%d", n)
 		before, after := Owners(key, hosts, 1)[0], Owners(key, without, 1)[0]
-		if before != after && before != hosts[17].ID {
-			t.Fatalf("%s moved from %s to %s", key, before, after)
-		}
-		if before != after {
+		if before == hosts[17].ID {
 			moved++
+		} else if before != after {
+			t.Fatalf("%s moved from %s to %s", key, before, after)
 		}
 	}
 	if moved < 50 || moved > 200 {
