Wait in the demo until status reports every host

config status exits with 9 while a heartbeat is still to come, which made one of two demo runs fail.

--- a/internal/dccommand/dcdemocommand/demo.go
+++ b/internal/dccommand/dcdemocommand/demo.go
@@ -43,6 +43,7 @@
 	administrator = "operations"
 	caller        = "kitchen"
 	startTimeout  = 20 * time.Second
+	statusTimeout = 5 * time.Second
 	pollInterval  = 20 * time.Millisecond
 )
 
@@ -93,7 +94,25 @@
 	if err := d.showOrder(ctx); err != nil {
 		return err
 	}
-	return d.tool(ctx, administrator, "config", "status")
+	return d.showStatus(ctx)
+}
+
+// showStatus waits until every host has heard of the others' revisions, which
+// travel with the heartbeats.
+func (d *deployment) showStatus(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	for {
+		output, err := d.capture(ctx, administrator, "config", "status")
+		if err == nil || ctx.Err() != nil {
+			d.printf("%s", output)
+			return err
+		}
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+		}
+	}
 }
 
 // showOrder sends an order twice to one host and looks it up on another.
--- a/internal/dccommand/dcdemocommand/deployment.go
+++ b/internal/dccommand/dcdemocommand/deployment.go
@@ -155,20 +155,27 @@
 	return nil
 }
 
-// tool runs the operators' tool as a department against the first host.
+// tool runs the operators' tool and prints its output.
 func (d *deployment) tool(ctx context.Context, department string, arguments ...string) error {
+	output, err := d.capture(ctx, department, arguments...)
+	d.printf("%s", output)
+	return err
+}
+
+// capture runs the operators' tool as a department against the first host.
+func (d *deployment) capture(ctx context.Context, department string, arguments ...string) (output []byte, err error) {
 	command := exec.CommandContext(ctx, filepath.Join(d.options.Bin, "dandelioncart"), arguments...)
-	var output bytes.Buffer
-	command.Stdout, command.Stderr = &output, &output
+	var printed bytes.Buffer
+	fmt.Fprintf(&printed, "$ dandelioncart %s %s\n", arguments[0], arguments[1])
+	command.Stdout, command.Stderr = &printed, &printed
 	command.Env = append(os.Environ(),
 		"SSL_CERT_FILE="+d.path("authority.pem"),
 		"DANDELIONCART_ADDRESS="+d.url(0),
 		"DANDELIONCART_DEPARTMENT="+department,
 		"DANDELIONCART_CREDENTIAL="+d.credentials[department],
 	)
-	err := command.Run()
-	d.printf("$ dandelioncart %s %s\n%s", arguments[0], arguments[1], output.Bytes())
-	return eris.Wrapf(err, "dandelioncart %s", arguments[0])
+	err = command.Run()
+	return printed.Bytes(), eris.Wrapf(err, "dandelioncart %s", arguments[0])
 }
 
 // stop ends all processes gracefully. The second signal lets the hosts leave at
