Lengthen the intervals of store reads with the number of hosts

Host records and seats are read as a whole by every host. At 1,300 hosts a fixed 5 s interval means 260 reads of about 130 KB a second; the interval is now 65 s there and unchanged up to 100 hosts. Membership does not depend on it, since heartbeats carry the changes.

--- a/internal/dchost/host.go
+++ b/internal/dchost/host.go
@@ -269,14 +269,29 @@
 
 // every runs a step at once and then after each interval, until ctx ends.
 func (h *Host) every(ctx context.Context, interval time.Duration, step func(context.Context)) error {
+	return h.everyScaled(ctx, func() time.Duration { return interval }, step)
+}
+
+// everyScaled is every with an interval that can change.
+func (h *Host) everyScaled(ctx context.Context, interval func() time.Duration, step func(context.Context)) error {
 	for {
 		step(ctx)
-		if !h.pause(ctx, h.jitter(interval)) {
+		if !h.pause(ctx, h.jitter(interval())) {
 			return nil
 		}
 	}
 }
 
+// scaleHosts is the number of hosts up to which store intervals are constant.
+const scaleHosts = 100
+
+// scaled lengthens an interval of store calls with the number of hosts. A read
+// of all records grows with the hosts, and so does the number of readers: at
+// 1,300 hosts a 5 s interval would read about 130 KB 260 times a second.
+func (h *Host) scaled(interval time.Duration) time.Duration {
+	return interval * time.Duration(max(scaleHosts, len(h.members.hosts()))) / scaleHosts
+}
+
 // pause waits and reports whether ctx still runs.
 func (h *Host) pause(ctx context.Context, wait time.Duration) bool {
 	timer := h.Clock.NewTimer(wait)
--- a/internal/dchost/members.go
+++ b/internal/dchost/members.go
@@ -196,7 +196,8 @@
 
 // keepHostRecord keeps this host's record under a lease and reads all records.
 func (h *Host) keepHostRecord(ctx context.Context) error {
-	return h.every(ctx, recordPeriod, func(ctx context.Context) {
+	interval := func() time.Duration { return h.scaled(recordPeriod) }
+	return h.everyScaled(ctx, interval, func(ctx context.Context) {
 		if err := h.writeHostRecord(ctx); err != nil {
 			h.Log.Debug("host record is not kept", zap.Error(err))
 		}
@@ -216,7 +217,7 @@
 			return err
 		}
 	}
-	lease, err := h.Store.GrantLease(ctx, hostLease)
+	lease, err := h.Store.GrantLease(ctx, h.scaled(hostLease))
 	if err != nil {
 		return err
 	}
--- a/internal/dchost/seats.go
+++ b/internal/dchost/seats.go
@@ -67,7 +67,7 @@
 	for ctx.Err() == nil {
 		wait := seatRetry
 		if h.view.Load().accepted != nil && h.seatRound(ctx) {
-			wait = seatPeriod
+			wait = h.scaled(seatPeriod)
 			h.setLimits()
 		}
 		h.pause(ctx, h.jitter(wait))
