--- a/internal/dcledger/failure_test.go
+++ b/internal/dcledger/failure_test.go
@@ -113,6 +113,7 @@
 func TestOrdersUnderFaults(t *testing.T) {
 	for name, scenario := range scenarios {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			ran := 0
 			for seed := range uint64(seeds) {
 				w := newWorld(seed, 4, scenario)
@@ -159,6 +160,7 @@
 	}
 	for name, change := range variants {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			scenario := scenarios["everything-at-once"]
 			change(&scenario)
 			rejected, twice, nonlinear := 0, 0, 0
--- a/internal/dcledger/rules_test.go
+++ b/internal/dcledger/rules_test.go
@@ -137,3 +137,42 @@
 		t.Errorf("%d entries in %d bytes", len(segment.Entries), size)
 	}
 }
+
+// Guards against a dispatch after its deadline when one of the clocks stood
+// still, and against a second dispatch when a claim is answered twice.
+func TestDispatchDeadline(t *testing.T) {
+	const window = 2 * time.Second
+	for _, c := range []struct {
+		wall, elapsed time.Duration
+		want          int
+	}{
+		{0, 0, 1},
+		{window - 1, window - 1, 1},
+		{window, 0, 0},
+		{0, window, 0},
+		{-time.Hour, window, 0},
+	} {
+		spec := OrderSpec{Key: "019cad6b-2e00-7abc-8def-0123456789ab", Operation: "a"}
+		_, issued, _ := ParseKey(spec.Key)
+		start := Instant{Wall: issued}
+		spec.Deadline = issued.Add(time.Minute)
+		order := NewOrder(testOrderConfig(), spec, nil)
+		claim := order.Start(start)[0].(SubmitClaim)
+		at := Instant{Wall: start.Wall.Add(c.wall), Elapsed: c.elapsed}
+		granted := Result{Code: dcreason.OK, Entry: claim.Entry}
+		got := 0
+		for _, action := range append(order.Claimed(at, granted), order.Claimed(at, granted)...) {
+			switch action := action.(type) {
+			case Dispatch:
+				got++
+			case SubmitRecord:
+				if action.Entry.GetState() != ledgerv1.EntryState_ENTRY_STATE_NOT_RUN {
+					t.Errorf("%v, %v: recorded %v", c.wall, c.elapsed, action.Entry.GetState())
+				}
+			}
+		}
+		if got != c.want {
+			t.Errorf("wall %v, elapsed %v: %d dispatches, want %d", c.wall, c.elapsed, got, c.want)
+		}
+	}
+}
