Require a claim over a not-run record to name the next attempt

No order ran twice, but the key stayed claimed by an operation that its host had given up.

Ordering claims by dispatch deadline was ruled out: it refuses a later request with a shorter deadline.

--- a/internal/dcledger/order.go
+++ b/internal/dcledger/order.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/dandelioncart/dandelioncart/internal/dcid"
 	"github.com/dandelioncart/dandelioncart/internal/dcreason"
 	"github.com/dandelioncart/dandelioncart/internal/dcupstream"
@@ -122,6 +124,7 @@
 	return &ledgerv1.Entry{
 		Department:         string(o.spec.Department),
 		Key:                string(key),
+		Attempt:            1,
 		BodyDigest:         BodyDigest(o.spec.Group, o.spec.Service, o.spec.Schema, o.spec.Body),
 		State:              ledgerv1.EntryState_ENTRY_STATE_CLAIMED,
 		OperationId:        string(o.spec.Operation),
@@ -148,12 +151,25 @@
 		o.finishNotRun(result.Code)
 	case result.Entry == nil:
 		o.retire(at, dcreason.Internal)
+	case o.mayClaimNext(result.Entry):
+		o.claim = proto.CloneOf(o.claim)
+		o.claim.Attempt = result.Entry.GetAttempt() + 1
+		o.act(SubmitClaim{Partition: o.partition, Entry: o.claim})
 	default:
 		o.finishWithOther(at, result.Entry)
 	}
 	return o.takeActions()
 }
 
+// mayClaimNext reports whether the key is proven not to have run, so that its
+// next attempt may be claimed.
+func (o *Order) mayClaimNext(entry *ledgerv1.Entry) bool {
+	return entry.GetState() == ledgerv1.EntryState_ENTRY_STATE_NOT_RUN &&
+		entry.GetOperationId() != o.claim.GetOperationId() &&
+		entry.GetAttempt() >= o.claim.GetAttempt() &&
+		bytes.Equal(entry.GetBodyDigest(), o.claim.GetBodyDigest())
+}
+
 // dispatch checks the dispatch deadline on both clocks and sends the order.
 func (o *Order) dispatch(at Instant, entry *ledgerv1.Entry) {
 	window := o.dispatchBy.Sub(o.started.Wall)
--- a/internal/dcledger/rules.go
+++ b/internal/dcledger/rules.go
@@ -55,12 +55,13 @@
 	return Result{Code: dcreason.OK, Entry: entry}, true
 }
 
-// claimable reports whether a key in the ledger may be claimed again. The
-// operation that was answered not-run must not claim its key again: a delayed
-// copy of its claim may arrive after its not-run record.
+// claimable reports whether a key in the ledger may be claimed again. The claim
+// must name the next attempt: a delayed copy of an earlier claim, of this or
+// another operation, names one that has passed.
 func claimable(existing, claim *ledgerv1.Entry) bool {
 	return existing.GetState() == ledgerv1.EntryState_ENTRY_STATE_NOT_RUN &&
 		existing.GetOperationId() != claim.GetOperationId() &&
+		existing.GetAttempt()+1 == claim.GetAttempt() &&
 		bytes.Equal(existing.GetBodyDigest(), claim.GetBodyDigest())
 }
 
--- a/internal/dcledger/rules_test.go
+++ b/internal/dcledger/rules_test.go
@@ -97,7 +97,8 @@
 		{"claimed by another, deadline passed", entry("b", "x", claimed), base.Add(900 * time.Millisecond), false, 1},
 		{"ran", entry("b", "x", ran), base, false, 1},
 		{"unknown", entry("b", "x", unknown), base, false, 1},
-		{"not-run", entry("b", "x", notRun), base, true, 2},
+		{"not-run, next attempt", entry("b", "x", notRun), base, true, 2},
+		{"not-run, delayed copy", entry("b", "x", notRun), base, false, 1},
 		{"not-run, other body", entry("b", "y", notRun), base, false, 1},
 	} {
 		segment := &ledgerv1.Segment{}
@@ -106,6 +107,7 @@
 		}
 		before := proto.CloneOf(segment)
 		claim := entry("a", "x", claimed)
+		claim.Attempt = max(c.wantAttempt, 1)
 		result, changed := applyClaim(segment, claim, c.now)
 		if Claimed(claim, result) != c.wantClaimed || result.Entry.GetAttempt() != c.wantAttempt {
 			t.Errorf("%s: got %v", c.name, result)
