--- a/internal/dchost/host.go
+++ b/internal/dchost/host.go
@@ -91,12 +91,18 @@
 	background  atomic.Int64
 	overrideOne sync.Once
 	override    chan struct{}
+	prepared    chan struct{}
 	components  map[string]chan struct{}
 }
 
 // New returns a Host whose exported fields are to be set.
 func New() *Host {
-	return &Host{override: make(chan struct{})}
+	return &Host{override: make(chan struct{}), prepared: make(chan struct{})}
+}
+
+// Prepared is closed when Run has built the host's state and serves.
+func (h *Host) Prepared() <-chan struct{} {
+	return h.prepared
 }
 
 // StopNow makes a planned stop leave without waiting for other hosts that are
@@ -113,6 +119,7 @@
 	if err := h.prepare(life); err != nil {
 		return err
 	}
+	close(h.prepared)
 	components, life := errgroup.WithContext(life)
 	for name, loop := range h.loops() {
 		h.start(components, life, name, loop)
--- a/internal/dchost/host_test.go
+++ b/internal/dchost/host_test.go
@@ -1,6 +1,7 @@
 package dchost
 
 import (
+	"encoding/base64"
 	"slices"
 	"strings"
 	"testing"
@@ -10,7 +11,9 @@
 
 	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
 
+	"github.com/dandelioncart/dandelioncart/internal/dcdrain"
 	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
 	"github.com/dandelioncart/dandelioncart/internal/dcstandin"
 	"github.com/dandelioncart/dandelioncart/internal/dcstore"
 )
@@ -193,3 +196,57 @@
 		t.Errorf("draining server refused %d more requests", got-refused)
 	}
 }
+
+// Guards against two hosts that stop at once and leave the callers with fewer
+// hosts than a rolling restart may take away.
+func TestStopsTakeTurns(t *testing.T) {
+	tier := newTier(t, 3)
+	tier.start()
+	for host := range 2 {
+		tier.stops[host]()
+	}
+	refusing := func() (count int) {
+		for _, host := range tier.hosts[:2] {
+			if host.drain.admit(dcdrain.Query) != dcreason.OK {
+				count++
+			}
+		}
+		return count
+	}
+	first := -1
+	tier.await("the first stop", func() bool {
+		if refusing() > 1 {
+			t.Fatal("both hosts refuse queries")
+		}
+		for host, ended := range tier.ended[:2] {
+			if len(ended) > 0 {
+				first = host
+			}
+		}
+		return first >= 0
+	})
+	checkComplete(t, tier.query(1-first, "rye"))
+	tier.await("the second stop", func() bool { return len(tier.ended[1-first]) > 0 })
+	checkComplete(t, tier.query(2, "rye"))
+}
+
+// Guards against credentials or bodies in logs, and against refusals that
+// cannot be found by their request id.
+func TestLogs(t *testing.T) {
+	tier := newTier(t, 1)
+	tier.start()
+	checkComplete(t, tier.query(0, "secret flour"))
+	answer := &callerv1.QueryResponse{}
+	tier.call(0, request{path: "/v1/query", credential: "secret credential", message: newQuery(func(*callerv1.QueryRequest) {})}, answer)
+	logs := tier.logs.String()
+	for _, want := range []string{answer.GetResult().GetRequestId(), `"reason":"credential-invalid"`, `"revision":1`} {
+		if !strings.Contains(logs, want) {
+			t.Errorf("logs lack %s", want)
+		}
+	}
+	for _, secret := range []string{testCredential, "secret", base64.StdEncoding.EncodeToString([]byte("secret flour"))} {
+		if strings.Contains(logs, secret) {
+			t.Errorf("logs hold %q", secret)
+		}
+	}
+}
--- a/internal/dchost/tier_test.go
+++ b/internal/dchost/tier_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"runtime"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"golang.org/x/crypto/argon2"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
@@ -58,6 +60,31 @@
 	stops   []context.CancelFunc
 	ended   []chan error
 	client  *http.Client
+	logs    *logBuffer
+}
+
+// logBuffer collects the logs of all hosts.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(text []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(text)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+func (b *logBuffer) logger() *zap.Logger {
+	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	return zap.New(zapcore.NewCore(encoder, zapcore.AddSync(b), zap.DebugLevel))
 }
 
 func newTier(t *testing.T, hosts int) *tier {
@@ -76,7 +103,7 @@
 	if err := fleet.Start(); err != nil {
 		t.Fatal(err)
 	}
-	tier := &tier{t: t, clock: clock, fleet: fleet, network: dcpeer.NewNetwork(), client: &http.Client{Transport: &http.Transport{}}}
+	tier := &tier{t: t, clock: clock, fleet: fleet, network: dcpeer.NewNetwork(), logs: &logBuffer{}, client: &http.Client{Transport: &http.Transport{}}}
 	for i := range hosts {
 		tier.startHost(i)
 	}
@@ -109,11 +136,10 @@
 		host.Settings.SeedPeers = []string{r.hosts[0].PeerListener.Addr().String()}
 	}
 	upstream := &dcupstream.Client{Clock: r.clock}
-	host.Store, host.Upstream, host.Clock, host.Log = r.fleet.Platform.Store, upstream, r.clock, zap.NewNop()
+	host.Store, host.Upstream, host.Clock, host.Log = r.fleet.Platform.Store, upstream, r.clock, r.logs.logger()
 	host.Random, host.Seed = rand.New(rand.NewSource(int64(number))), uint64(number)
 	address := host.PeerListener.Addr().String()
 	host.Peer = r.network.From(address)
-	r.network.Attach(address, peerService{host})
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() {
@@ -121,6 +147,8 @@
 		upstream.Close()
 		ended <- err
 	}()
+	<-host.Prepared()
+	r.network.Attach(address, peerService{host})
 	r.hosts, r.stops, r.ended = append(r.hosts, host), append(r.stops, stop), append(r.ended, ended)
 }
 
@@ -224,10 +252,13 @@
 	})
 }
 
-// knowsAll reports whether a host has heard of every host and its revision.
+// knowsAll reports whether a host has heard from every host itself, and knows
+// its revision.
 func (r *tier) knowsAll(host *Host) bool {
 	known := host.members.hosts()
-	return len(known) == len(r.hosts) && !slices.ContainsFunc(known, func(other dcmembership.Host) bool { return other.Revision != 1 })
+	return len(known) == len(r.hosts) && !slices.ContainsFunc(known, func(other dcmembership.Host) bool {
+		return other.Revision != 1 || other.ID != host.self.ID && other.Heard.IsZero()
+	})
 }
 
 // request is one call of a caller; zero fields take the usual values.
