--- a/internal/dchost/members.go
+++ b/internal/dchost/members.go
@@ -96,8 +96,8 @@
 
 func (h *Host) logChanges(changes []dcmembership.Change) {
 	for _, change := range changes {
-		h.Log.Info("host changed state",
-			zap.String("host", string(change.Host.ID)),
+		h.Log.Info("peer changed state",
+			zap.String("peer", string(change.Host.ID)),
 			zap.String("from", string(change.From)),
 			zap.String("to", string(change.Host.State)))
 	}
