Keep the demo's ports until its hosts start

Two of two runs failed because a port found free was taken again before its host listened, by a stand-in or an outgoing connection.

--- a/internal/dccommand/dcdemocommand/deployment.go
+++ b/internal/dccommand/dcdemocommand/deployment.go
@@ -79,16 +79,19 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	began := time.Now()
-	callers, peers, err := freeAddresses(d.options.Hosts)
+	addresses, listeners, err := reserve(2 * d.options.Hosts)
+	defer closeAll(listeners)
 	if err != nil {
 		return err
 	}
+	callers, peers := addresses[:d.options.Hosts], addresses[d.options.Hosts:]
 	if err := d.startStandIn(callers); err != nil {
 		return err
 	}
 	if err := d.writeFiles(callers, peers); err != nil {
 		return err
 	}
+	closeAll(listeners)
 	for _, settings := range d.settings {
 		host, err := d.launch(settings.GetHostId(), nil, "dandelioncart", "serve", "--settings", d.path(settings.GetHostId()+".yaml"), "--stop-allowance", "200ms")
 		if err != nil {
--- a/internal/dccommand/dcdemocommand/files.go
+++ b/internal/dccommand/dcdemocommand/files.go
@@ -11,12 +11,15 @@
 	"encoding/pem"
 	"io"
 	"math/big"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -32,20 +35,34 @@
 	stopTimeout     = 10 * time.Second
 	credentialBytes = 16
 	certificateLife = time.Hour
+	firstPort       = 23000
+	lastPort        = 31000
+	maxPortTries    = 1000
 )
 
-// freeAddresses returns caller and peer addresses on free loopback ports.
-func freeAddresses(hosts int) (callers, peers []string, err error) {
-	var addresses []string
-	for range 2 * hosts {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+// reserve returns addresses with free loopback ports below the range of outgoing
+// connections, which could take a port before its host listens. The listeners
+// keep the ports until the hosts start.
+func reserve(count int) (addresses []string, listeners []net.Listener, err error) {
+	for range maxPortTries {
+		if len(addresses) == count {
+			return addresses, listeners, nil
+		}
+		port := firstPort + mathrand.IntN(lastPort-firstPort)
+		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
 		if err != nil {
-			return nil, nil, err
+			continue
 		}
-		defer listener.Close()
 		addresses = append(addresses, listener.Addr().String())
+		listeners = append(listeners, listener)
+	}
+	return nil, listeners, eris.New("no free loopback ports")
+}
+
+func closeAll(listeners []net.Listener) {
+	for _, listener := range listeners {
+		_ = listener.Close()
 	}
-	return addresses[:hosts], addresses[hosts:], nil
 }
 
 // write writes a message as JSON, which is YAML.
