Bound the ledger's writes and keep its segments small

Cause: a minute segment of a partition was full after 203 claims, each refused claim read the store, and every claim of an idle partition was its own swap, so 64 partitions at 10 orders/s each would have written 640 times a second. Change: segments of 10 s; a cell-rate limit of partitions/300 s for each segment with a burst of 8; claims that find no room in the kept copy are refused without a read. Ruled out: a fixed pause between swaps, which made each order wait 53 ms for its record and hung the whole-path test under its fake clock.

--- a/internal/dccapacity/ledger.go
+++ b/internal/dccapacity/ledger.go
@@ -31,6 +31,8 @@
 	// storeLatency is the time of one store call; the platform answers in
 	// milliseconds.
 	storeLatency = 3 * time.Millisecond
+	// ledgerSwapInterval is that of 16 partitions.
+	ledgerSwapInterval = 53 * time.Millisecond
 )
 
 // ledgerRun drives one Committer against a scripted store that answers every
@@ -55,6 +57,7 @@
 func MeasureLedger(rate int, seed uint64) LedgerCost {
 	config := dcledger.DefaultCommitterConfig()
 	config.Prefix, config.Host, config.Incarnation, config.Retention = "dc/", "h1", 1, time.Hour
+	config.SwapInterval = ledgerSwapInterval
 	random := rand.New(rand.NewPCG(seed, 0))
 	run := &ledgerRun{committer: dcledger.NewCommitter(config, random), values: map[string]dcstore.Record{}}
 	start := time.Unix(1_700_000_040, 0)
--- a/internal/dchost/ledger.go
+++ b/internal/dchost/ledger.go
@@ -25,6 +25,12 @@
 	// recordTimeout bounds a record at the holder.
 	recordTimeout     = time.Second
 	deletionInterval  = 5 * time.Minute
+	// ledgerWriteRate is the writes a second that all partitions together may
+	// cause; the store serves several hundred to everyone.
+	ledgerWriteRate = 300
+	// maxSwapInterval leaves a claim time for its swap within the claim timeout,
+	// however many partitions there are.
+	maxSwapInterval = 55 * time.Millisecond
 	deletionListLimit = 16
 )
 
@@ -78,6 +84,7 @@
 	config.Host = h.self.ID
 	config.Incarnation = h.self.Incarnation
 	config.Retention = retention
+	config.SwapInterval = h.swapInterval()
 	created := &partition{
 		host:      h,
 		retention: retention,
@@ -88,6 +95,13 @@
 	return created
 }
 
+// swapInterval spreads the writes that the ledger may cause over its
+// partitions.
+func (h *Host) swapInterval() time.Duration {
+	partitions := h.view.Load().configuration().GetLedgerPartitions()
+	return min(time.Duration(partitions)*time.Second/ledgerWriteRate, maxSwapInterval)
+}
+
 func (h *Host) maxRetention() (retention time.Duration) {
 	for _, rules := range h.view.Load().configuration().GetServiceGroups() {
 		retention = max(retention, rules.GetKeyRetention().AsDuration())
--- a/internal/dcledger/committer.go
+++ b/internal/dcledger/committer.go
@@ -158,17 +158,22 @@
 }
 
 func (c *Committer) enqueue(now time.Time, work *submission, issued time.Time) {
-	minute := MinuteOf(issued)
-	target, ok := c.segments[minute]
+	slot := SlotOf(issued)
+	target, ok := c.segments[slot]
 	if !ok {
-		target = &segment{key: SegmentKey(c.config.Prefix, c.config.Partition, minute)}
-		c.segments[minute] = target
+		target = &segment{key: SegmentKey(c.config.Prefix, c.config.Partition, slot)}
+		c.segments[slot] = target
 	}
 	target.pending = append(target.pending, work)
 	target.usedAt = now
 	c.advance(now, target)
 }
 
+// nextSwap returns when the segment may be written again.
+func (c *Committer) nextSwap(target *segment) time.Time {
+	return target.paid.Add(-swapBurst * c.config.SwapInterval)
+}
+
 // Tick handles everything that is due.
 func (c *Committer) Tick(now time.Time) []Action {
 	for _, target := range c.ordered() {
@@ -183,8 +188,8 @@
 // ordered returns the segments by age, so that equal events give equal actions.
 func (c *Committer) ordered() []*segment {
 	segments := make([]*segment, 0, len(c.segments))
-	for _, minute := range slices.Sorted(maps.Keys(c.segments)) {
-		segments = append(segments, c.segments[minute])
+	for _, slot := range slices.Sorted(maps.Keys(c.segments)) {
+		segments = append(segments, c.segments[slot])
 	}
 	return segments
 }
@@ -254,6 +259,8 @@
 		switch {
 		case target.call != nil:
 			consider(target.call.due(c.config))
+		case len(target.pending) > 0 && now.Before(c.nextSwap(target)) && !c.breaker.open:
+			consider(c.nextSwap(target))
 		case len(target.pending) > 0 && now.Before(c.breaker.until):
 			consider(c.breaker.until)
 		case target.idle():
--- a/internal/dcledger/config.go
+++ b/internal/dcledger/config.go
@@ -26,6 +26,10 @@
 	// being applied again, where each claim finds its own entry and each record
 	// finds its outcome.
 	commitsKept = 32
+	// swapBurst is the number of swaps of a segment that may follow one another
+	// without pause. An order needs two, so without a burst each order of an
+	// idle partition would wait for one interval.
+	swapBurst = 8
 )
 
 // CommitterConfig holds the settings of a Committer.
@@ -42,6 +46,9 @@
 	// CallTimeout is how long a store call may take before its reply counts as
 	// lost.
 	CallTimeout time.Duration
+	// SwapInterval is the mean time between two swaps of one segment. It bounds
+	// the writes to the store under load, after a burst. 0 means no pause.
+	SwapInterval time.Duration
 	// MinBackoff and MaxBackoff bound the time between attempts to write records
 	// while the store is unavailable.
 	MinBackoff time.Duration
--- a/internal/dcledger/key.go
+++ b/internal/dcledger/key.go
@@ -51,9 +51,21 @@
 	return dcid.Partition(sum % uint64(count))
 }
 
-// MinuteOf returns the Unix minute of a time of issue, which names the segment.
-func MinuteOf(issued time.Time) int64 {
-	return issued.Unix() / 60
+// SegmentWidth is the span of key times of one segment. Every swap writes the
+// whole segment, so a narrow segment keeps swaps small; a wide one keeps the
+// number of store keys low. With one minute, a partition was full after 203
+// claims.
+const SegmentWidth = 10 * time.Second
+
+// SlotOf returns the number of the segment of a time of issue, counted in
+// segment widths since the Unix epoch.
+func SlotOf(issued time.Time) int64 {
+	return issued.Unix() / int64(SegmentWidth/time.Second)
+}
+
+// slotEnd returns the end of the key times of a segment.
+func slotEnd(slot int64) time.Time {
+	return time.Unix((slot+1)*int64(SegmentWidth/time.Second), 0)
 }
 
 // PartitionPrefix returns the store prefix of all segments of a partition.
@@ -61,10 +73,10 @@
 	return fmt.Sprintf("%sledger/%d/", prefix, partition)
 }
 
-// SegmentKey returns the store key of a segment. The minute is padded so that
-// the store lists segments from oldest to newest.
-func SegmentKey(prefix string, partition dcid.Partition, minute int64) string {
-	return fmt.Sprintf("%s%010d", PartitionPrefix(prefix, partition), minute)
+// SegmentKey returns the store key of a segment. The slot is padded so that the
+// store lists segments from oldest to newest.
+func SegmentKey(prefix string, partition dcid.Partition, slot int64) string {
+	return fmt.Sprintf("%s%012d", PartitionPrefix(prefix, partition), slot)
 }
 
 // BodyDigest returns the SHA-256 of what makes two orders the same. Each part
--- /dev/null
+++ b/internal/dcledger/pace_test.go
@@ -0,0 +1,135 @@
+package dcledger
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	"github.com/dandelioncart/dandelioncart/internal/dcstore"
+	ledgerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/ledger/v1"
+)
+
+// pacedRun sends claims to one committer at a fixed rate against a store that
+// answers after latency.
+type pacedRun struct {
+	committer       *Committer
+	value           []byte
+	modified        dcstore.Revision
+	replies         []pacedReply
+	wake            time.Time
+	swaps, gets     int
+	claimed, denied int
+}
+
+type pacedReply struct {
+	at    time.Time
+	reply StoreReply
+}
+
+func (r *pacedRun) handle(now time.Time, actions []Action) {
+	const latency = 3 * time.Millisecond
+	for _, action := range actions {
+		switch action := action.(type) {
+		case GetSegment:
+			r.gets++
+			reply := StoreReply{Call: action.Call, Record: dcstore.Record{Key: action.Key, Value: r.value, Modified: r.modified}}
+			if r.modified == 0 {
+				reply = StoreReply{Call: action.Call, Err: dcstore.ErrNotFound}
+			}
+			r.replies = append(r.replies, pacedReply{now.Add(latency), reply})
+		case SwapSegment:
+			r.swaps++
+			r.modified++
+			r.value = action.Swap.Value
+			r.replies = append(r.replies, pacedReply{now.Add(latency), StoreReply{Call: action.Call, Modified: r.modified}})
+		case Answer:
+			if action.Result.Code == dcreason.OK {
+				r.claimed++
+			} else {
+				r.denied++
+			}
+		case WakeAt:
+			r.wake = action.At
+		}
+	}
+}
+
+func (r *pacedRun) until(now time.Time) {
+	for {
+		switch {
+		case len(r.replies) > 0 && !r.replies[0].at.After(now):
+			next := r.replies[0]
+			r.replies = r.replies[1:]
+			r.handle(next.at, r.committer.StoreReplied(next.at, next.reply))
+		case !r.wake.IsZero() && !r.wake.After(now):
+			at := r.wake
+			r.wake = time.Time{}
+			r.handle(at, r.committer.Tick(at))
+		default:
+			return
+		}
+	}
+}
+
+func (r *pacedRun) send(claims int, gap time.Duration) {
+	start := time.Unix(1_700_000_000, 0)
+	for index := range claims {
+		now := start.Add(time.Duration(index) * gap)
+		r.until(now)
+		var id uuid.UUID
+		for position := range 6 {
+			id[position] = byte(uint64(start.UnixMilli()) >> (40 - 8*position))
+		}
+		id[6], id[8] = 0x70, 0x80
+		copy(id[10:], fmt.Sprintf("%06d", index))
+		entry := &ledgerv1.Entry{
+			Department: "mills", Key: id.String(), OperationId: fmt.Sprint(index), BodyDigest: []byte("d"),
+			State: ledgerv1.EntryState_ENTRY_STATE_CLAIMED, DispatchDeadlineMs: now.Add(time.Second).UnixMilli(),
+		}
+		r.handle(now, r.committer.Claim(now, Ticket(index+1), entry))
+	}
+	r.until(start.Add(time.Duration(claims)*gap + time.Second))
+}
+
+func newPacedRun(interval time.Duration) *pacedRun {
+	config := DefaultCommitterConfig()
+	config.SwapInterval = interval
+	config.Retention = time.Hour
+	return &pacedRun{committer: NewCommitter(config, rand.New(rand.NewPCG(1, 0)))}
+}
+
+// Guards against a commit rate that grows with the load: without the pause the
+// store, which serves several hundred writes a second to everyone, is written
+// once for each round trip.
+func TestSwapIntervalBoundsWrites(t *testing.T) {
+	const claims, gap = 150, 5 * time.Millisecond
+	paced, free := newPacedRun(50*time.Millisecond), newPacedRun(0)
+	paced.send(claims, gap)
+	free.send(claims, gap)
+	if paced.claimed != claims || free.claimed != claims {
+		t.Errorf("claimed %d with the pause and %d without, want %d", paced.claimed, free.claimed, claims)
+	}
+	if limit := int(claims*gap/(50*time.Millisecond)) + swapBurst + 2; paced.swaps > limit {
+		t.Errorf("%d swaps with the pause, limit %d", paced.swaps, limit)
+	}
+	if free.swaps < 2*paced.swaps {
+		t.Errorf("%d swaps without the pause, %d with it: the check does not bite", free.swaps, paced.swaps)
+	}
+}
+
+// Guards against a store read for each claim that a full segment refuses.
+func TestFullSegmentRefusesWithoutReading(t *testing.T) {
+	const claims = 400
+	run := newPacedRun(0)
+	run.send(claims, time.Millisecond)
+	if run.denied == 0 || run.claimed+run.denied != claims {
+		t.Fatalf("claimed %d, denied %d of %d; the segment must be full", run.claimed, run.denied, claims)
+	}
+	if run.gets > 2 {
+		t.Errorf("%d reads for %d refusals", run.gets, run.denied)
+	}
+}
--- a/internal/dcledger/retention.go
+++ b/internal/dcledger/retention.go
@@ -30,10 +30,9 @@
 	Modified dcstore.Revision
 }
 
-// DeletableAt returns when the segment of a minute may be deleted.
-func (r Retention) DeletableAt(minute int64) time.Time {
-	end := time.Unix((minute+1)*60, 0)
-	return end.Add(r.Keys + r.Margin)
+// DeletableAt returns when the segment of a slot may be deleted.
+func (r Retention) DeletableAt(slot int64) time.Time {
+	return slotEnd(slot).Add(r.Keys + r.Margin)
 }
 
 // Deletable returns those of the listed records of a partition that may be
@@ -43,8 +42,8 @@
 func (r Retention) Deletable(prefix string, partition dcid.Partition, records []dcstore.Record, now time.Time) []SegmentRef {
 	var refs []SegmentRef
 	for _, record := range records {
-		minute, ok := segmentMinute(prefix, partition, record.Key)
-		if ok && !now.Before(r.DeletableAt(minute)) {
+		slot, ok := segmentSlot(prefix, partition, record.Key)
+		if ok && !now.Before(r.DeletableAt(slot)) {
 			refs = append(refs, SegmentRef{Key: record.Key, Modified: record.Modified})
 		}
 	}
@@ -55,19 +54,19 @@
 // and false when none is a segment.
 func (r Retention) NextDeletion(prefix string, partition dcid.Partition, records []dcstore.Record) (at time.Time, ok bool) {
 	for _, record := range records {
-		minute, isSegment := segmentMinute(prefix, partition, record.Key)
-		if due := r.DeletableAt(minute); isSegment && (!ok || due.Before(at)) {
+		slot, isSegment := segmentSlot(prefix, partition, record.Key)
+		if due := r.DeletableAt(slot); isSegment && (!ok || due.Before(at)) {
 			at, ok = due, true
 		}
 	}
 	return at, ok
 }
 
-func segmentMinute(prefix string, partition dcid.Partition, key string) (minute int64, ok bool) {
+func segmentSlot(prefix string, partition dcid.Partition, key string) (slot int64, ok bool) {
 	text, ok := strings.CutPrefix(key, PartitionPrefix(prefix, partition))
 	if !ok {
 		return 0, false
 	}
-	minute, err := strconv.ParseInt(text, 10, 64)
-	return minute, err == nil && key == SegmentKey(prefix, partition, minute)
+	slot, err := strconv.ParseInt(text, 10, 64)
+	return slot, err == nil && key == SegmentKey(prefix, partition, slot)
 }
--- a/internal/dcledger/segment.go
+++ b/internal/dcledger/segment.go
@@ -31,6 +31,8 @@
 	lostCommit string
 	lostBatch  []*submission
 	usedAt     time.Time
+	// paid is when the swaps so far have used up their share of writes.
+	paid time.Time
 }
 
 // call is a store call in flight. A swap has next, commit and batch.
@@ -63,6 +65,14 @@
 	s.pending = slices.DeleteFunc(s.pending, func(work *submission) bool { return work.answered })
 }
 
+// pay accounts for one swap (generic cell rate algorithm).
+func (s *segment) pay(now time.Time, interval time.Duration) {
+	if s.paid.Before(now) {
+		s.paid = now
+	}
+	s.paid = s.paid.Add(interval)
+}
+
 func (s *segment) idle() bool {
 	return s.call == nil && len(s.pending) == 0
 }
@@ -84,7 +94,12 @@
 		return
 	}
 	next, changed := apply(target.value, target.pending, now)
+	if !changed && c.refuseClaims(target) {
+		c.advance(now, target)
+		return
+	}
 	switch {
+	case changed && now.Before(c.nextSwap(target)):
 	case changed:
 		c.swap(now, target, next)
 	case allRead(target.pending):
@@ -129,6 +144,20 @@
 	}
 }
 
+// refuseClaims answers claims for which the kept copy has no room. They are not
+// written, so an older copy can refuse them, but never make the answer false.
+// Reading the store for each of them would cost a call for each refusal.
+func (c *Committer) refuseClaims(target *segment) (refused bool) {
+	for _, work := range target.pending {
+		if work.kind == kindClaim && work.result.Code == dcreason.QueueFull {
+			work.result.MayExist = work.undecided
+			c.answer(work, work.result)
+			refused = true
+		}
+	}
+	return refused
+}
+
 func (c *Committer) get(now time.Time, target *segment) {
 	for _, work := range target.pending {
 		work.read = true
@@ -152,6 +181,7 @@
 	}
 	issued := c.issue(now, target, &call{next: next, commit: commit, batch: target.pending})
 	target.pending = nil
+	target.pay(now, c.config.SwapInterval)
 	swap := dcstore.Swap{Key: target.key, Expected: target.modified, Value: value}
 	c.actions = append(c.actions, SwapSegment{Call: issued, Swap: swap})
 }
