Give the hosts of the integration tests time to run between clock steps

Ruled out: synctest, which does not advance time while a goroutine is in network input or output; clockwork's BlockUntil, because the number of timers changes with each step. Conclusion: each step now lasts at least 1 ms, and the conditions are unchanged.

--- a/internal/dchost/ledger.go
+++ b/internal/dchost/ledger.go
@@ -23,14 +23,14 @@
 	// own commit when the holder does not answer.
 	holderTimeout = 40 * time.Millisecond
 	// recordTimeout bounds a record at the holder.
-	recordTimeout     = time.Second
-	deletionInterval  = 5 * time.Minute
+	recordTimeout    = time.Second
+	deletionInterval = 5 * time.Minute
 	// ledgerWriteRate is the writes a second that all partitions together may
 	// cause; the store serves several hundred to everyone.
 	ledgerWriteRate = 300
 	// maxSwapInterval leaves a claim time for its swap within the claim timeout,
 	// however many partitions there are.
-	maxSwapInterval = 55 * time.Millisecond
+	maxSwapInterval   = 55 * time.Millisecond
 	deletionListLimit = 16
 )
 
--- a/internal/dchost/tier_test.go
+++ b/internal/dchost/tier_test.go
@@ -46,7 +46,9 @@
 	testShards     = 6
 	clockStep      = 25 * time.Millisecond
 	maxSteps       = 4000
-	maxSpins       = 50000
+	// minSettle lets the loops see their timers, maxSettle their work end.
+	minSettle = time.Millisecond
+	maxSettle = 10 * time.Millisecond
 )
 
 // tier is a set of hosts in this process, on fake time, over stand-ins on
@@ -169,20 +171,38 @@
 func (r *tier) await(what string, condition func() bool) {
 	r.t.Helper()
 	for range maxSteps {
-		for _, host := range r.hosts {
-			for spin := 0; spin < maxSpins && host.tasks.running.Load() > 0; spin++ {
-				runtime.Gosched()
-			}
-		}
+		r.settle()
 		if condition() {
 			return
 		}
 		r.clock.Advance(clockStep)
-		runtime.Gosched()
 	}
 	r.t.Fatalf("%s did not happen within %s", what, maxSteps*clockStep)
 }
 
+// settle lets the hosts do their work before time goes on. Work that itself
+// waits for time ends the wait after maxSettle. Without the lower bound, all
+// steps of an await passed within 50 ms on a busy machine, before the loops of
+// the hosts had run once.
+func (r *tier) settle() {
+	start := time.Now()
+	for elapsed := time.Duration(0); elapsed < maxSettle; elapsed = time.Since(start) {
+		if elapsed >= minSettle && !r.working() {
+			return
+		}
+		runtime.Gosched()
+	}
+}
+
+func (r *tier) working() bool {
+	for _, host := range r.hosts {
+		if host.tasks.running.Load() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *tier) awaitEnd(ended chan error) {
 	for {
 		select {
@@ -192,8 +212,8 @@
 			}
 			return
 		default:
+			r.settle()
 			r.clock.Advance(clockStep)
-			runtime.Gosched()
 		}
 	}
 }
