Measure refusals and resends in experiments, and add a fixed body

The report could not show how fast orders are refused during a store outage, nor whether a restart cut off a request that the client then sent again. A load may now carry a fixed body, sent one at a time, for a request that crashes servers. Errors of the client tell a missed deadline from a connection that was lost.

--- a/internal/dcload/arrivals.go
+++ b/internal/dcload/arrivals.go
@@ -23,3 +23,8 @@
 	a.next += time.Duration(gap * float64(time.Second))
 	return a.next
 }
+
+// skipTo leaves out the arrivals before a time.
+func (a *Arrivals) skipTo(at time.Duration) {
+	a.next = max(a.next, at)
+}
--- a/internal/dcload/generator.go
+++ b/internal/dcload/generator.go
@@ -41,6 +41,11 @@
 			return
 		}
 		random := rand.New(rand.NewPCG(g.Seed, sequence))
+		if g.Load.GetOneAtATime() {
+			g.send(ctx, start, at, random)
+			arrivals.skipTo(g.Clock.Since(start))
+			continue
+		}
 		pending.Go(func() { g.send(ctx, start, at, random) })
 	}
 }
--- a/internal/dcload/recorder.go
+++ b/internal/dcload/recorder.go
@@ -7,6 +7,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	benchv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/bench/v1"
+	"github.com/dandelioncart/dandelioncart/pkg/dcclient"
 )
 
 const (
@@ -26,6 +27,8 @@
 	Latency time.Duration
 	Outcome string
 	Reason  string
+	// Attempts counts the transmissions of the client.
+	Attempts int
 	// Good reports a usable answer within the deadline.
 	Good bool
 	// Coverage is the covered fraction of shards, 0 to 1.
@@ -46,6 +49,7 @@
 	mu      sync.Mutex
 	result  benchv1.LoadResult
 	latency *hdrhistogram.Histogram
+	refused *hdrhistogram.Histogram
 	covered float64
 	seconds []*second
 }
@@ -73,6 +77,12 @@
 	r.result.Requests++
 	r.result.Outcomes[sample.Outcome]++
 	r.result.Reasons[sample.Reason]++
+	if sample.Attempts > 1 {
+		r.result.Resent++
+	}
+	if sample.Outcome == string(dcclient.NotRun) {
+		_ = r.refused.RecordValue(sample.Latency.Microseconds())
+	}
 	slot := r.slot(sample.Intended - r.WarmUp)
 	slot.sent++
 	if !sample.Good {
@@ -96,6 +106,7 @@
 		return
 	}
 	r.latency = newHistogram()
+	r.refused = newHistogram()
 	r.result.Outcomes = map[string]uint32{}
 	r.result.Reasons = map[string]uint32{}
 }
@@ -129,6 +140,7 @@
 	r.result.P50Ms = quantileMS(r.latency, 50)
 	r.result.P99Ms = quantileMS(r.latency, 99)
 	r.result.P999Ms = quantileMS(r.latency, 99.9)
+	r.result.RefusedP99Ms = quantileMS(r.refused, 99)
 	r.result.Goodput = float64(r.result.Good) / r.Duration.Seconds()
 	if r.result.Good > 0 {
 		r.result.Coverage = r.covered / float64(r.result.Good)
--- a/internal/dcload/report.go
+++ b/internal/dcload/report.go
@@ -28,15 +28,15 @@
 	table := dcplot.Table{
 		Title: "Loads",
 		Header: []string{"variant", "seed", "group", "department", "requests", "good", "goodput /s", "p50 ms", "p99 ms",
-			"p99.9 ms", "coverage", "complete", "violations"},
+			"p99.9 ms", "refused p99 ms", "coverage", "complete", "resent", "violations"},
 	}
 	for _, run := range results.GetRuns() {
 		for _, load := range run.GetLoads() {
 			table.Rows = append(table.Rows, []string{
 				run.GetVariant(), count(run.GetSeed()), load.GetServiceGroup(), load.GetDepartment(),
 				count(load.GetRequests()), count(load.GetGood()), decimal(load.GetGoodput()), decimal(load.GetP50Ms()),
-				decimal(load.GetP99Ms()), decimal(load.GetP999Ms()), fmt.Sprintf("%.4f", load.GetCoverage()),
-				count(load.GetComplete()), count(load.GetViolations()),
+				decimal(load.GetP99Ms()), decimal(load.GetP999Ms()), decimal(load.GetRefusedP99Ms()), fmt.Sprintf("%.4f", load.GetCoverage()),
+				count(load.GetComplete()), count(load.GetResent()), count(load.GetViolations()),
 			})
 		}
 	}
--- a/internal/dcload/requester.go
+++ b/internal/dcload/requester.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"sync"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/dandelioncart/dandelioncart/internal/dcsettings"
 	"github.com/dandelioncart/dandelioncart/internal/dcstandin"
 	benchv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/bench/v1"
@@ -37,6 +39,9 @@
 }
 
 func requestBody(load *benchv1.Load, random *rand.Rand) []byte {
+	if load.GetBody() != "" {
+		return []byte(load.GetBody())
+	}
 	number := random.IntN(max(int(load.GetDistinctBodies()), 1))
 	body := fmt.Appendf(nil, "%s/%s/%d/", load.GetServiceGroup(), load.GetDepartment(), number)
 	size := max(int(load.GetBodyBytes()), defaultBodyBytes)
@@ -51,9 +56,9 @@
 	answer, err := r.Client.Query(ctx, dcclient.Query{
 		Group: load.GetServiceGroup(), SchemaVersion: load.GetSchemaVersion(), Body: body,
 	})
-	sample := Sample{Outcome: string(answer.Result.Outcome), Reason: answer.Result.Reason}
+	sample := Sample{Outcome: string(answer.Result.Outcome), Reason: answer.Result.Reason, Attempts: answer.Result.Attempts}
 	if err != nil {
-		sample.Reason = "client-error"
+		sample.Reason = clientError(err)
 		return sample
 	}
 	covered, total, violation := checkQuery(answer, body)
@@ -65,6 +70,15 @@
 	return sample
 }
 
+// clientError tells a request that the tier cut off from one that it did not
+// answer in time.
+func clientError(err error) string {
+	if eris.Is(err, context.DeadlineExceeded) {
+		return "client-timeout"
+	}
+	return "client-error"
+}
+
 // checkQuery compares an answer with what the stand-ins wrote into each shard.
 func checkQuery(answer dcclient.QueryAnswer, body []byte) (covered, total int, violation string) {
 	expected := map[string]uint32{}
@@ -126,9 +140,9 @@
 		Group: load.GetServiceGroup(), Service: r.Services[random.IntN(len(r.Services))],
 		SchemaVersion: load.GetSchemaVersion(), Key: key, Body: requestBody(load, random),
 	})
-	sample := Sample{Outcome: string(answer.Result.Outcome), Reason: answer.Result.Reason, Coverage: 1}
-	if err != nil && sample.Reason == "" {
-		sample.Reason = "client-error"
+	sample := Sample{Outcome: string(answer.Result.Outcome), Reason: answer.Result.Reason, Coverage: 1, Attempts: answer.Result.Attempts}
+	if err != nil {
+		sample.Reason = clientError(err)
 	}
 	sample.Good = answer.Result.Outcome == dcclient.Ran
 	if answer.Result.Outcome == dcclient.NotRun {
