Test leaving servers, accepted revisions and running requests on several hosts

Each single signal of a leaving server is brought about on 4 hosts: a draining answer that one host sees, a draining status, a closed connection, the host list and the operator. Accepted revisions are followed with lost store watches, and with configuration reads from the past while hosts run and one starts. A planned stop is tested with a request that runs until new requests are refused. The host list is tested with a server whose status gets no answer: a status of serving clears that signal by design.

--- /dev/null
+++ b/internal/dchost/leaving_test.go
@@ -0,0 +1,185 @@
+package dchost
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+	upstreamv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/upstream/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dchostlist"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcstandin"
+	"github.com/dandelioncart/dandelioncart/internal/dcupstream"
+)
+
+const leavingThreshold = 3 * time.Second
+
+// recordingUpstream counts the requests that one host sends to each server.
+type recordingUpstream struct {
+	*dcupstream.Client
+	work *workLog
+	host int
+}
+
+type workLog struct {
+	mu   sync.Mutex
+	sent map[int]map[dcid.ServerAddr]int
+	// silent are the servers whose status gets no answer.
+	silent map[dcid.ServerAddr]bool
+}
+
+func newWorkLog() *workLog {
+	return &workLog{sent: map[int]map[dcid.ServerAddr]int{}, silent: map[dcid.ServerAddr]bool{}}
+}
+
+func (l *workLog) count(host int, server dcid.ServerAddr) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.sent[host] == nil {
+		l.sent[host] = map[dcid.ServerAddr]int{}
+	}
+	l.sent[host][server]++
+}
+
+func (l *workLog) of(host int, server dcid.ServerAddr) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sent[host][server]
+}
+
+func (l *workLog) silence(server dcid.ServerAddr) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent[server] = true
+}
+
+func (u *recordingUpstream) Search(ctx context.Context, search dcupstream.Search) dcupstream.Response {
+	u.work.count(u.host, search.Server)
+	return u.Client.Search(ctx, search)
+}
+
+func (u *recordingUpstream) Status(ctx context.Context, server dcid.ServerAddr) (*upstreamv1.Status, error) {
+	u.work.mu.Lock()
+	silent := u.work.silent[server]
+	u.work.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return u.Client.Status(ctx, server)
+}
+
+// newLeavingTier returns a tier that counts the work of each server and reads
+// the host list.
+func newLeavingTier(t *testing.T, hosts int) (*tier, *workLog) {
+	t.Helper()
+	work := newWorkLog()
+	return newTierWith(t, hosts, func(r *tier, number int, host *Host) {
+		host.Upstream = &recordingUpstream{Client: host.Upstream.(*dcupstream.Client), work: work, host: number}
+		host.HostList = r.fleet.Platform.Hosts
+		host.Settings.HostList = &settingsv1.HostListSettings{Interval: durationpb.New(time.Second)}
+	}), work
+}
+
+// pass lets time pass.
+func (r *tier) pass(duration time.Duration) {
+	r.t.Helper()
+	until := r.clock.Now().Add(duration)
+	r.await(duration.String(), func() bool { return !r.clock.Now().Before(until) })
+}
+
+// Guards against new work for a leaving server after 3 s on any host, when only
+// one signal tells that it leaves and only one host sees that signal first.
+func TestEachSignalStopsNewWork(t *testing.T) {
+	signals := map[string]func(*tier, *workLog, *dcstandin.UpstreamServer){
+		"draining answer": func(r *tier, work *workLog, server *dcstandin.UpstreamServer) {
+			work.silence(dcid.ServerAddr(server.Server.Addr()))
+			server.SetFaults(func(faults *dcstandin.Faults) { faults.Draining = true })
+			r.sendUntil(0, func() bool { return !r.hosts[0].servers.usable(dcid.ServerAddr(server.Server.Addr())) })
+		},
+		"draining status": func(r *tier, _ *workLog, server *dcstandin.UpstreamServer) {
+			server.SetFaults(func(faults *dcstandin.Faults) { faults.Draining = true })
+		},
+		"closed connection": func(_ *tier, _ *workLog, server *dcstandin.UpstreamServer) {
+			server.Kill()
+		},
+		"host list": func(r *tier, work *workLog, server *dcstandin.UpstreamServer) {
+			work.silence(dcid.ServerAddr(server.Server.Addr()))
+			r.fleet.Platform.Hosts.SetState(server.Server.Addr(), dchostlist.Leaving)
+		},
+		"operator": func(r *tier, _ *workLog, server *dcstandin.UpstreamServer) {
+			r.applyChange("kitchen", "leave", 1, func(configuration *settingsv1.Configuration) {
+				markLeaving(configuration, dcid.ServerAddr(server.Server.Addr()))
+			})
+		},
+	}
+	for name, signal := range signals {
+		t.Run(name, func(t *testing.T) {
+			tier, work := newLeavingTier(t, 4)
+			tier.start()
+			server := tier.fleet.Select(dcstandin.Selector{Group: testGroup})[0]
+			tier.sendUntil(0, func() bool { return work.of(0, dcid.ServerAddr(server.Server.Addr())) > 0 })
+			signal(tier, work, server)
+			tier.pass(leavingThreshold)
+			for host := range tier.hosts {
+				before := work.of(host, dcid.ServerAddr(server.Server.Addr()))
+				for range 5 {
+					checkComplete(t, tier.query(host, "rye"))
+				}
+				if got := work.of(host, dcid.ServerAddr(server.Server.Addr())) - before; got != 0 {
+					t.Errorf("host %d sent %d requests to the leaving server", host, got)
+				}
+			}
+		})
+	}
+}
+
+// sendUntil sends queries to a host until a condition holds.
+func (r *tier) sendUntil(host int, condition func() bool) {
+	r.t.Helper()
+	const most = 1000
+	for range most {
+		if condition() {
+			return
+		}
+		checkComplete(r.t, r.query(host, "rye"))
+	}
+	r.t.Fatalf("condition does not hold after %d queries", most)
+}
+
+func markLeaving(configuration *settingsv1.Configuration, server dcid.ServerAddr) {
+	for _, group := range configuration.GetServiceGroups() {
+		for _, service := range group.GetServices() {
+			for _, upstream := range service.GetUpstreams() {
+				if slices.Contains(upstream.GetServers(), string(server)) {
+					upstream.Leaving = append(upstream.Leaving, string(server))
+				}
+			}
+		}
+	}
+}
+
+// applyChange accepts the test configuration with a change as the revision
+// after base.
+func (r *tier) applyChange(department, operation string, base uint32, change func(*settingsv1.Configuration)) {
+	r.t.Helper()
+	configuration := r.configuration()
+	change(configuration)
+	document, err := protojson.Marshal(configuration)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	answer := &callerv1.ApplyResponse{}
+	message := &callerv1.ApplyRequest{BaseRevision: base, OperationId: operation, Document: string(document)}
+	if status := r.call(0, request{department: department, path: "/v1/config/apply", message: message}, answer); status != 200 {
+		r.t.Fatalf("apply: status %d, %v", status, answer)
+	}
+}
--- /dev/null
+++ b/internal/dchost/revision_test.go
@@ -0,0 +1,188 @@
+package dchost
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcconfig"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcstandin"
+	"github.com/dandelioncart/dandelioncart/internal/dcstore"
+)
+
+const inForceThreshold = 2 * time.Second
+
+// blindStore is a Store whose configuration reads and waits fail once lost is
+// set: its host has lost its watch.
+type blindStore struct {
+	dcstore.Store
+	lost *atomic.Bool
+}
+
+func (s *blindStore) List(ctx context.Context, prefix string, limit int, descending bool) ([]dcstore.Record, error) {
+	if s.lost.Load() {
+		return nil, dcstore.ErrUnavailable
+	}
+	return s.Store.List(ctx, prefix, limit, descending)
+}
+
+func (s *blindStore) Wait(ctx context.Context, prefix string, after dcstore.Revision) (dcstore.Revision, error) {
+	revision, err := s.Store.Wait(ctx, prefix, after)
+	if s.lost.Load() {
+		return 0, dcstore.ErrUnavailable
+	}
+	return revision, err
+}
+
+// awaitRevision waits until every host has a revision in force, and fails when
+// that takes longer than the threshold.
+func (r *tier) awaitRevision(revision dcid.Revision) {
+	r.t.Helper()
+	accepted := r.clock.Now()
+	r.await(fmt.Sprintf("revision %d on every host", revision), func() bool {
+		for _, host := range r.hosts {
+			if revisionOf(host) < revision {
+				return false
+			}
+		}
+		return true
+	})
+	if took := r.clock.Since(accepted); took > inForceThreshold {
+		r.t.Errorf("revision %d was in force everywhere after %s, want at most %s", revision, took, inForceThreshold)
+	}
+}
+
+// revisionOf returns the revision in force on a host, 0 before it runs.
+func revisionOf(host *Host) dcid.Revision {
+	if view := host.view.Load(); view != nil {
+		return view.revision()
+	}
+	return 0
+}
+
+// changeQueue is a change that only its number tells apart.
+func changeQueue(number int) func(*settingsv1.Configuration) {
+	return func(configuration *settingsv1.Configuration) {
+		configuration.GetServiceGroups()[0].MaxQueue = int32(100 + number)
+	}
+}
+
+// Guards against an accepted configuration that a host without a store watch
+// does not have in force after 2 s, on 4 hosts; with one and with three of the
+// watches lost.
+func TestAcceptedIsInForceEverywhere(t *testing.T) {
+	for _, blind := range []int{0, 1, 3} {
+		t.Run(fmt.Sprintf("%d watches lost", blind), func(t *testing.T) {
+			var lost atomic.Bool
+			tier := newTierWith(t, 4, func(_ *tier, number int, host *Host) {
+				if number > 3-blind {
+					host.Store = &blindStore{Store: host.Store, lost: &lost}
+				}
+			})
+			tier.start()
+			lost.Store(true)
+			for number := 1; number <= 5; number++ {
+				tier.applyChange("kitchen", fmt.Sprintf("change-%d", number), uint32(number), changeQueue(number))
+				tier.awaitRevision(dcid.Revision(number + 1))
+				tier.pass(time.Duration(number) * 370 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// revisionLog keeps the highest revision that each host process has shown.
+type revisionLog map[*Host]dcid.Revision
+
+func (l revisionLog) check(t *testing.T, hosts []*Host) {
+	t.Helper()
+	for _, host := range hosts {
+		shown := revisionOf(host)
+		if shown < l[host] {
+			t.Errorf("%s went from revision %d to %d", host.Settings.GetHostId(), l[host], shown)
+		}
+		l[host] = max(l[host], shown)
+	}
+}
+
+// staleStore answers configuration reads as of the first revision once stale is
+// set.
+type staleStore struct {
+	dcstore.Store
+	stale *atomic.Bool
+}
+
+func (s *staleStore) List(ctx context.Context, prefix string, limit int, descending bool) ([]dcstore.Record, error) {
+	if prefix == dcconfig.Prefix && s.stale.Load() {
+		return s.Store.List(ctx, prefix, 1, false)
+	}
+	return s.Store.List(ctx, prefix, limit, descending)
+}
+
+// Guards against a host that goes back to an older revision when the store
+// answers reads from its past, and against a host that starts meanwhile and
+// becomes ready with the older revision.
+func TestAcceptedNeverReverts(t *testing.T) {
+	var stale atomic.Bool
+	tier := newTierWith(t, 3, func(_ *tier, _ int, host *Host) { host.Store = &staleStore{Store: host.Store, stale: &stale} })
+	tier.start()
+	for number := 1; number <= 3; number++ {
+		tier.applyChange("kitchen", fmt.Sprintf("change-%d", number), uint32(number), changeQueue(number))
+		tier.awaitRevision(dcid.Revision(number + 1))
+	}
+	seen := revisionLog{}
+	stale.Store(true)
+	until := tier.clock.Now().Add(time.Minute)
+	tier.await("a minute of stale reads", func() bool {
+		seen.check(t, tier.hosts)
+		return !tier.clock.Now().Before(until)
+	})
+	tier.stops[2]()
+	tier.awaitEnd(tier.ended[2])
+	tier.ended[2] <- nil
+	tier.startHost(3)
+	started := tier.hosts[3]
+	tier.await("the start of a host", func() bool {
+		seen.check(t, tier.hosts)
+		return revisionOf(started) > 0 && started.ready()
+	})
+	answer := tier.query(3, "rye")
+	checkComplete(t, answer)
+	if got := answer.GetResult().GetConfigRevision(); got != 4 {
+		t.Errorf("answered with revision %d, want 4", got)
+	}
+}
+
+// Guards against a planned stop that cuts off a request that runs, or that
+// refuses one while callers still hold an address answer.
+func TestStopFinishesRunningRequests(t *testing.T) {
+	tier := newTier(t, 3)
+	tier.start()
+	tier.freeze(true)
+	answers := make(chan *callerv1.QueryResponse, 1)
+	go func() {
+		defer close(answers)
+		answer := &callerv1.QueryResponse{}
+		query := &callerv1.QueryRequest{ServiceGroup: testGroup, SchemaVersion: testSchema, Body: []byte("slow")}
+		tier.call(0, request{path: "/v1/query", timeout: "10000", message: query}, answer)
+		answers <- answer
+	}()
+	tier.await("a running request", func() bool { return tier.hosts[0].requests.Load() > 0 })
+	tier.stops[0]()
+	tier.await("the end of leaving", func() bool { return tier.hosts[0].drain.admit("query") != "ok" })
+	tier.freeze(false)
+	checkComplete(t, <-answers)
+	tier.awaitEnd(tier.ended[0])
+	tier.ended[0] <- nil
+}
+
+func (r *tier) freeze(frozen bool) {
+	for _, server := range r.fleet.Select(dcstandin.Selector{Group: testGroup}) {
+		server.SetFaults(func(faults *dcstandin.Faults) { faults.Frozen = frozen })
+	}
+}
--- a/internal/dchost/tier_test.go
+++ b/internal/dchost/tier_test.go
@@ -58,9 +58,16 @@
 	stops   []context.CancelFunc
 	ended   []chan error
 	client  *http.Client
+	// edges may replace the edges of a host before it runs; nil for none.
+	edges func(r *tier, number int, host *Host)
 }
 
 func newTier(t *testing.T, hosts int) *tier {
+	t.Helper()
+	return newTierWith(t, hosts, nil)
+}
+
+func newTierWith(t *testing.T, hosts int, edges func(r *tier, number int, host *Host)) *tier {
 	t.Helper()
 	clock := clockwork.NewFakeClockAt(time.Date(2026, 6, 1, 8, 0, 0, 0, time.UTC))
 	fleet, err := dcstandin.NewFleet(&standinv1.Profile{
@@ -76,7 +83,7 @@
 	if err := fleet.Start(); err != nil {
 		t.Fatal(err)
 	}
-	tier := &tier{t: t, clock: clock, fleet: fleet, network: dcpeer.NewNetwork(), client: &http.Client{Transport: &http.Transport{}}}
+	tier := &tier{t: t, clock: clock, fleet: fleet, network: dcpeer.NewNetwork(), client: &http.Client{Transport: &http.Transport{}}, edges: edges}
 	for i := range hosts {
 		tier.startHost(i)
 	}
@@ -111,6 +118,9 @@
 	upstream := &dcupstream.Client{Clock: r.clock}
 	host.Store, host.Upstream, host.Clock, host.Log = r.fleet.Platform.Store, upstream, r.clock, zap.NewNop()
 	host.Random, host.Seed = rand.New(rand.NewSource(int64(number))), uint64(number)
+	if r.edges != nil {
+		r.edges(r, number, host)
+	}
 	address := host.PeerListener.Addr().String()
 	host.Peer = r.network.From(address)
 	r.network.Attach(address, peerService{host})
@@ -219,6 +229,11 @@
 	r.await("the first apply", func() bool {
 		return r.call(0, request{department: "operations", path: "/v1/config/apply", message: &callerv1.ApplyRequest{OperationId: "first", Document: string(document)}}, answer) == http.StatusOK
 	})
+	r.awaitReady()
+}
+
+func (r *tier) awaitReady() {
+	r.t.Helper()
 	r.await("readiness", func() bool {
 		return !slices.ContainsFunc(r.hosts, func(host *Host) bool { return !host.ready() || !r.knowsAll(host) })
 	})
@@ -227,7 +242,7 @@
 // knowsAll reports whether a host has heard of every host and its revision.
 func (r *tier) knowsAll(host *Host) bool {
 	known := host.members.hosts()
-	return len(known) == len(r.hosts) && !slices.ContainsFunc(known, func(other dcmembership.Host) bool { return other.Revision != 1 })
+	return len(known) == len(r.hosts) && !slices.ContainsFunc(known, func(other dcmembership.Host) bool { return other.Revision < 1 })
 }
 
 // request is one call of a caller; zero fields take the usual values.
