--- a/internal/dcexperiment/session.go
+++ b/internal/dcexperiment/session.go
@@ -71,6 +71,9 @@
 		Load: load, Requester: requester, Recorder: recorder, Clock: s.runner.Clock,
 		Seed: uint64(s.seed)<<8 + uint64(index), Until: s.warmUp + s.duration,
 	}
+	if after := load.GetStartAfter().AsDuration(); after > 0 {
+		generator.From = s.warmUp + after
+	}
 	return func(ctx context.Context) error {
 		defer client.Close()
 		generator.Run(ctx, start)
--- a/internal/dcload/generator.go
+++ b/internal/dcload/generator.go
@@ -26,13 +26,15 @@
 	Clock     clockwork.Clock
 	// Seed of the arrivals and of the request bodies.
 	Seed uint64
-	// Until is the end of sending, counted from the start.
+	// From and Until bound the sending, counted from the start.
+	From  time.Duration
 	Until time.Duration
 }
 
 // Run sends until the end and waits for the last answer.
 func (g *Generator) Run(ctx context.Context, start time.Time) {
 	arrivals := Arrivals{Rate: g.Load.GetRate(), Random: rand.New(rand.NewPCG(g.Seed, 0))}
+	arrivals.skipTo(g.From)
 	var pending sync.WaitGroup
 	defer pending.Wait()
 	for sequence := uint64(1); ; sequence++ {
