Bound the wait for the answer in the stop test

With a stop that ignores running requests the test hung instead of failing, because time stood still while it waited.

--- a/internal/dchost/revision_test.go
+++ b/internal/dchost/revision_test.go
@@ -176,6 +176,7 @@
 	tier.stops[0]()
 	tier.await("the end of leaving", func() bool { return tier.hosts[0].drain.admit("query") != "ok" })
 	tier.freeze(false)
+	tier.await("the answer", func() bool { return len(answers) > 0 })
 	checkComplete(t, <-answers)
 	tier.awaitEnd(tier.ended[0])
 	tier.ended[0] <- nil
