Hold a draining signal when the status hides it

Ruled out: a lost heartbeat, since the signal was present and cleared on all hosts.

A draining signal that returns within 2 minutes of its clearing is now held for 5 s, doubling up to 1 minute, before a status clears it. A server that drains once and returns is cleared at once as before.

--- a/internal/dcmembership/servers.go
+++ b/internal/dcmembership/servers.go
@@ -37,6 +37,13 @@
 	// spreadHold keeps a host that alone cannot reach a server from taking the
 	// server away from all hosts again and again.
 	spreadHold = time.Minute
+	// relapse is the time after a false clearing within which another draining
+	// answer shows that the server's status cannot be trusted. The status then
+	// clears the signal only after a back-off from minHold to maxHold: a server
+	// that drained and reported serving was sent new work in every second.
+	relapse = 2 * maxHold
+	minHold = 5 * time.Second
+	maxHold = time.Minute
 	// rampStep is the clean time after which a returning server may have twice
 	// as many requests in flight.
 	rampStep = time.Second
@@ -50,6 +57,22 @@
 	merged bool
 	// stated is set while the host list or the operator says leaving.
 	stated bool
+	// hold is the time for which a status of serving does not clear the signal.
+	hold time.Duration
+}
+
+// raise makes the signal active. A draining signal that returns soon after it
+// was cleared is held for longer than the one before.
+func (s *signalState) raise(signal Signal, seen time.Time) {
+	back := signal == Draining && !s.seen.IsZero() && seen.Sub(s.seen) < relapse
+	switch {
+	case back:
+		s.hold = min(max(2*s.hold, minHold), maxHold)
+	default:
+		s.hold = 0
+	}
+	s.seen = seen
+	s.active = true
 }
 
 type server struct {
@@ -88,7 +111,8 @@
 	if state.active || repeated {
 		return false
 	}
-	*state = signalState{seen: now, active: true, private: signal == Closed, stated: source}
+	state.raise(signal, now)
+	state.private = signal == Closed
 	return true
 }
 
@@ -117,7 +141,7 @@
 	}
 	for _, signal := range signals {
 		state := known.signals[signal]
-		if state == nil || !state.active || signal == Operator || !sent.After(state.seen) {
+		if state == nil || !state.active || signal == Operator || !sent.After(state.seen.Add(state.hold)) {
 			continue
 		}
 		switch {
@@ -241,8 +265,10 @@
 	wasActive := state.active
 	state.merged = !state.stated
 	if !entry.GetCleared() {
+		if !wasActive {
+			state.raise(signal, seen)
+		}
 		state.seen = seen
-		state.active = true
 		state.private = false
 		return !wasActive
 	}
--- a/internal/dcmembership/servers_test.go
+++ b/internal/dcmembership/servers_test.go
@@ -106,6 +106,38 @@
 	}
 }
 
+// Guards against new work in every second for a server that refuses it as
+// draining and whose status says serving, on the host that sees the refusal and
+// on a peer.
+func TestStatusThatHidesDraining(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	a, b := &Servers{}, &Servers{}
+	sent := 0
+	for range 120 {
+		for _, host := range []*Servers{a, b} {
+			if host.Usable(testServer) {
+				sent++
+				host.Observe(testServer, Draining, now)
+			}
+			now = now.Add(10 * time.Millisecond)
+		}
+		now = now.Add(480 * time.Millisecond)
+		a.Merge(b.Entries(1024, now), now)
+		b.Merge(a.Entries(1024, now), now)
+		now = now.Add(500 * time.Millisecond)
+		a.Probed(testServer, true, now, now)
+		b.Probed(testServer, true, now, now)
+	}
+	if sent > 20 {
+		t.Fatalf("%d requests in 120 s, want at most 20", sent)
+	}
+	now = now.Add(maxHold)
+	a.Probed(testServer, true, now, now)
+	if !a.Usable(testServer) {
+		t.Fatal("the server never returns")
+	}
+}
+
 // Guards against a returning server that gets its full load at once.
 func TestRampUp(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
