Apply configuration changes in experiments

The action apply-config changes the configuration through a host and records the time until it is in force on every running host. Actions on a host are checked for its number. A missed deadline of an order was reported as a client error, because eris does not look into joined errors.

--- a/internal/dcexperiment/dcexperiment.go
+++ b/internal/dcexperiment/dcexperiment.go
@@ -71,6 +71,9 @@
 		if _, ok := actions[fault.GetAction()]; !ok {
 			return eris.Errorf("unknown fault action %q", fault.GetAction())
 		}
+		if onHost[fault.GetAction()] && (fault.GetHost() < 1 || fault.GetHost() > experiment.GetHosts()) {
+			return eris.Errorf("%s needs a host from 1 to %d", fault.GetAction(), experiment.GetHosts())
+		}
 	}
 	return nil
 }
--- a/internal/dcexperiment/faults.go
+++ b/internal/dcexperiment/faults.go
@@ -23,6 +23,7 @@
 		return s.deployment.StartHost(int(fault.GetHost()) - 1)
 	},
 	"restart-host": (*session).restartHost,
+	"apply-config": (*session).applyConfig,
 	"faults":       admin(http.MethodPut, "/v1/faults"),
 	"power":        admin(http.MethodPost, "/v1/power"),
 	"index":        admin(http.MethodPost, "/v1/index"),
@@ -30,6 +31,11 @@
 	"host-list":    admin(http.MethodPut, "/v1/host-list"),
 }
 
+// onHost marks the actions that need the number of a host.
+var onHost = map[string]bool{
+	"kill-host": true, "stop-host": true, "start-host": true, "restart-host": true, "apply-config": true,
+}
+
 // restartHost stops a host gracefully, starts it again and waits until it
 // takes requests.
 func (s *session) restartHost(ctx context.Context, fault *benchv1.Fault) error {
@@ -43,6 +49,17 @@
 	return s.deployment.WaitReady(ctx, index)
 }
 
+// applyConfig applies a change and records how long it took to be in force on
+// every running host.
+func (s *session) applyConfig(ctx context.Context, fault *benchv1.Fault) error {
+	took, err := s.deployment.ChangeConfiguration(ctx, int(fault.GetHost())-1)
+	if err != nil {
+		return err
+	}
+	s.spreads = append(s.spreads, float64(took)/float64(time.Millisecond))
+	return nil
+}
+
 func admin(method, path string) func(*session, context.Context, *benchv1.Fault) error {
 	return func(s *session, ctx context.Context, fault *benchv1.Fault) error {
 		target := path
--- a/internal/dcexperiment/session.go
+++ b/internal/dcexperiment/session.go
@@ -30,6 +30,7 @@
 	after      *standinv1.Report
 	costs      []*benchv1.HostCost
 	counters   subQueries
+	spreads    []float64
 }
 
 func newSession(runner *Runner, deployment *dclocal.Deployment, variant *benchv1.Variant, seed uint32) *session {
@@ -119,7 +120,8 @@
 	if err != nil {
 		return nil, err
 	}
-	run = &benchv1.Run{Variant: s.variant.GetName(), Seed: s.seed, Hosts: s.costs, Seconds: dcload.MergeSeconds(s.recorders)}
+	run = &benchv1.Run{Variant: s.variant.GetName(), Seed: s.seed, Hosts: s.costs,
+		Seconds: dcload.MergeSeconds(s.recorders), SpreadMs: s.spreads}
 	for index, recorder := range s.recorders {
 		result := recorder.Result()
 		if err := s.checkNotRun(ctx, s.requesters[index], result); err != nil {
--- a/internal/dcload/requester.go
+++ b/internal/dcload/requester.go
@@ -4,12 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/dandelioncart/dandelioncart/internal/dcsettings"
 	"github.com/dandelioncart/dandelioncart/internal/dcstandin"
 	benchv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/bench/v1"
@@ -73,7 +72,7 @@
 // clientError tells a request that the tier cut off from one that it did not
 // answer in time.
 func clientError(err error) string {
-	if eris.Is(err, context.DeadlineExceeded) {
+	if errors.Is(err, context.DeadlineExceeded) {
 		return "client-timeout"
 	}
 	return "client-error"
--- a/internal/dclocal/dclocal.go
+++ b/internal/dclocal/dclocal.go
@@ -15,7 +15,6 @@
 	"path/filepath"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -24,7 +23,6 @@
 
 	"github.com/dandelioncart/dandelioncart/internal/dcauth"
 	"github.com/dandelioncart/dandelioncart/internal/dcstandin"
-	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
 	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
 	standinv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/standin/v1"
 
@@ -62,6 +60,9 @@
 	hosts   []*host
 	digest  string
 	logs    []*os.File
+
+	configuration *settingsv1.Configuration
+	revision      uint32
 }
 
 type host struct {
@@ -108,7 +109,8 @@
 	if d.Change != nil {
 		d.Change(configuration)
 	}
-	if err := d.apply(ctx, configuration); err != nil {
+	d.configuration = configuration
+	if err := d.apply(ctx, d.hosts[0]); err != nil {
 		return err
 	}
 	return d.waitAll(ctx, "/readyz")
@@ -296,24 +298,6 @@
 	}
 }
 
-// apply proposes the configuration to the first host as the first revision.
-func (d *Deployment) apply(ctx context.Context, configuration *settingsv1.Configuration) (err error) {
-	defer func() { err = eris.Wrap(err, "apply configuration") }()
-	text, err := document(configuration)
-	if err != nil {
-		return err
-	}
-	request := &callerv1.ApplyRequest{OperationId: uuid.NewString(), Document: text, Comment: "local deployment"}
-	reply, err := d.call(ctx, http.MethodPost, "http://"+d.hosts[0].callers+"/v1/config/apply", request)
-	if err != nil {
-		return err
-	}
-	if reply.status != http.StatusOK {
-		return eris.Errorf("status %d: %s", reply.status, reply.body)
-	}
-	return nil
-}
-
 // Admin changes a switch of the stand-ins with a JSON body; path may carry a
 // selector.
 func (d *Deployment) Admin(ctx context.Context, method, path string, body []byte) error {
--- /dev/null
+++ b/internal/dclocal/revision.go
@@ -0,0 +1,72 @@
+package dclocal
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+)
+
+// spreadPollInterval is the resolution of the time that a change takes.
+const spreadPollInterval = 10 * time.Millisecond
+
+// apply proposes the configuration to a host as the next revision.
+func (d *Deployment) apply(ctx context.Context, to *host) (err error) {
+	defer func() { err = eris.Wrap(err, "apply configuration") }()
+	text, err := document(d.configuration)
+	if err != nil {
+		return err
+	}
+	request := &callerv1.ApplyRequest{
+		BaseRevision: d.revision, OperationId: uuid.NewString(), Document: text, Comment: "local deployment",
+	}
+	reply, err := d.call(ctx, http.MethodPost, "http://"+to.callers+"/v1/config/apply", request)
+	if err != nil {
+		return err
+	}
+	if reply.status != http.StatusOK {
+		return eris.Errorf("status %d: %s", reply.status, reply.body)
+	}
+	d.revision++
+	return nil
+}
+
+// ChangeConfiguration applies a change on a host, counted from 0, and returns
+// the time from its acceptance until every running host has it in force.
+func (d *Deployment) ChangeConfiguration(ctx context.Context, index int) (took time.Duration, err error) {
+	for _, group := range d.configuration.GetServiceGroups() {
+		group.MaxDeadline = durationpb.New(maxDeadline + time.Duration(d.revision)*time.Second)
+	}
+	if err := d.apply(ctx, d.hosts[index]); err != nil {
+		return 0, err
+	}
+	accepted := d.Clock.Now()
+	for _, host := range d.hosts {
+		if err := d.waitRevision(ctx, host); err != nil {
+			return 0, err
+		}
+	}
+	return d.Clock.Since(accepted), nil
+}
+
+func (d *Deployment) waitRevision(ctx context.Context, host *host) error {
+	for !host.process.exited() {
+		reply, err := d.call(ctx, http.MethodGet, "http://"+host.callers+"/v1/config/revisions/latest", nil)
+		answer := &callerv1.ConfigResponse{}
+		if err == nil && protojson.Unmarshal(reply.body, answer) == nil && answer.GetRevision().GetRevision() >= d.revision {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Wrapf(ctx.Err(), "%s did not reach revision %d", host.id, d.revision)
+		case <-d.Clock.After(spreadPollInterval):
+		}
+	}
+	return nil
+}
