Poll each upstream from two hosts in an interval instead of from all

Cause: every host polled every server each second: 30 servers cost a nearly idle host 2.2% of a core, above the limit of 1.6% for all control. Change: two owners by rendezvous hashing poll a server each second, and their heartbeats carry what they find; others poll every tenth second, and all poll for 3 s after an answer shows a changed shard map or for a server that leaves. Ruled out: one owner, whose loss together with a server would hide the server for longer than 3 s; longer intervals for all.

--- a/internal/dcexperiment/hosts.go
+++ b/internal/dcexperiment/hosts.go
@@ -13,9 +13,9 @@
 
 // Names of host counters.
 const (
-	metricSubQueries = "sub_queries"
-	metricHedges     = "hedges"
-	metricRetries    = "retries"
+	metricSubQueries = "dandelioncart_sub_queries"
+	metricHedges     = "dandelioncart_hedges"
+	metricRetries    = "dandelioncart_retries"
 )
 
 // hostReading is one reading of a host's counters.
--- a/internal/dchost/host.go
+++ b/internal/dchost/host.go
@@ -69,27 +69,30 @@
 	// default of dcdrain when 0.
 	Allowance time.Duration
 
-	self        dcmembership.Host
-	auth        *dcauth.Authenticator
-	meter       *meter
-	view        atomic.Pointer[view]
-	config      configState
-	members     memberState
-	addresses   addressState
-	servers     serverState
-	seats       seatState
-	ledger      ledgerState
-	quarantine  quarantineState
-	counters    counterState
-	drain       drainState
-	apply       sync.Mutex
-	randomMu    sync.Mutex
-	random      *rand.Rand
-	life        context.Context
-	started     time.Time
-	tasks       taskGroup
-	requests    atomic.Int64
-	background  atomic.Int64
+	self       dcmembership.Host
+	auth       *dcauth.Authenticator
+	meter      *meter
+	view       atomic.Pointer[view]
+	config     configState
+	members    memberState
+	addresses  addressState
+	servers    serverState
+	seats      seatState
+	ledger     ledgerState
+	quarantine quarantineState
+	counters   counterState
+	drain      drainState
+	apply      sync.Mutex
+	randomMu   sync.Mutex
+	random     *rand.Rand
+	life       context.Context
+	started    time.Time
+	tasks      taskGroup
+	requests   atomic.Int64
+	background atomic.Int64
+	// mapEvidence is when an answer last showed an outdated shard map, Unix
+	// nanoseconds.
+	mapEvidence atomic.Int64
 	overrideOne sync.Once
 	override    chan struct{}
 	prepared    chan struct{}
--- a/internal/dchost/target.go
+++ b/internal/dchost/target.go
@@ -43,6 +43,8 @@
 	addr     dcid.ServerAddr
 	inFlight atomic.Int32
 	polling  atomic.Bool
+	// lastPoll is used by the polling loop only.
+	lastPoll time.Time
 
 	mu       sync.Mutex
 	share    dcconnshare.Share
@@ -113,6 +115,7 @@
 
 // evidence takes what a response to a search or an order tells of its server.
 func (h *Host) evidence(target *target, response dcupstream.Response) {
+	h.noteMapEvidence(response.Code)
 	switch response.Code {
 	case dcreason.UpstreamDraining:
 		h.observe(target, dcmembership.Draining)
@@ -136,17 +139,18 @@
 	h.servers.servers.Failed(target.addr, h.wall())
 }
 
-// pollStatus polls every server once in each status interval. Polls are spread
-// over the interval in random order, since all hosts poll the same servers.
+// pollStatus polls the servers that this host owns once in each status interval
+// and the others rarely. Polls are spread over the interval in random order.
 func (h *Host) pollStatus(ctx context.Context) error {
 	schedule := pollSchedule{random: h.newRandom()}
+	duty := pollDuty{host: h}
 	interval := h.Settings.GetStatusInterval().AsDuration()
 	return h.every(ctx, pollStep, func(ctx context.Context) {
 		if !h.seats.active(h.Clock.Now()) {
 			return
 		}
 		for _, target := range schedule.next(h.view.Load(), interval) {
-			if target.polling.CompareAndSwap(false, true) {
+			if duty.due(target, h.wall(), interval) && target.polling.CompareAndSwap(false, true) {
 				h.tasks.Go(func() { h.poll(ctx, target) })
 			}
 		}
