--- a/internal/dchost/target.go
+++ b/internal/dchost/target.go
@@ -24,7 +24,7 @@
 	// recovers by one.
 	shareQuiet = 5 * time.Second
 	// pollStep is the resolution of the status schedule.
-	pollStep = 20 * time.Millisecond
+	pollStep = 50 * time.Millisecond
 	// pollSpread is the time over which the first polls are spread.
 	pollSpread   = 100 * time.Millisecond
 	pollTimeout  = time.Second
