--- a/internal/dchost/tier_test.go
+++ b/internal/dchost/tier_test.go
@@ -45,6 +45,8 @@
 	clockStep      = 25 * time.Millisecond
 	maxSteps       = 4000
 	maxSpins       = 50000
+	// yields lets the loops of the hosts run after each step of the clock.
+	yields = 200
 )
 
 // tier is a set of hosts in this process, on fake time, over stand-ins on
@@ -123,7 +125,6 @@
 	}
 	address := host.PeerListener.Addr().String()
 	host.Peer = r.network.From(address)
-	r.network.Attach(address, peerService{host})
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() {
@@ -131,6 +132,11 @@
 		upstream.Close()
 		ended <- err
 	}()
+	// A host takes calls of peers once it is prepared, as its listener does.
+	for host.view.Load() == nil {
+		runtime.Gosched()
+	}
+	r.network.Attach(address, peerService{host})
 	r.hosts, r.stops, r.ended = append(r.hosts, host), append(r.stops, stop), append(r.ended, ended)
 }
 
@@ -160,7 +166,9 @@
 			return
 		}
 		r.clock.Advance(clockStep)
-		runtime.Gosched()
+		for range yields {
+			runtime.Gosched()
+		}
 	}
 	r.t.Fatalf("%s did not happen within %s", what, maxSteps*clockStep)
 }
@@ -239,10 +247,12 @@
 	})
 }
 
-// knowsAll reports whether a host has heard of every host and its revision.
+// knowsAll reports whether a host has heard every host and its revision.
 func (r *tier) knowsAll(host *Host) bool {
 	known := host.members.hosts()
-	return len(known) == len(r.hosts) && !slices.ContainsFunc(known, func(other dcmembership.Host) bool { return other.Revision < 1 })
+	return len(known) == len(r.hosts) && !slices.ContainsFunc(known, func(other dcmembership.Host) bool {
+		return other.Revision < 1 || other.ID != host.self.ID && other.Heard.IsZero()
+	})
 }
 
 // request is one call of a caller; zero fields take the usual values.
