--- a/internal/dccommand/dcbenchruncommand/benchrun.go
+++ b/internal/dccommand/dcbenchruncommand/benchrun.go
@@ -33,7 +33,7 @@
 Examples:
 
   dandelioncart-bench run examples/experiments/stragglers.yaml
-  dandelioncart-bench run examples/experiments/host-killed.yaml --out out/kill --json`
+  dandelioncart-bench run examples/experiments/killed-host.yaml --out out/kill --json`
 }
 
 // Run runs the experiment.
