--- a/internal/dchost/tier_test.go
+++ b/internal/dchost/tier_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"runtime"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"golang.org/x/crypto/argon2"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
@@ -60,10 +62,35 @@
 	stops   []context.CancelFunc
 	ended   []chan error
 	client  *http.Client
+	logs    *logBuffer
 	// edges may replace the edges of a host before it runs; nil for none.
 	edges func(r *tier, number int, host *Host)
 }
 
+// logBuffer collects the logs of all hosts.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(text []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(text)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+func (b *logBuffer) logger() *zap.Logger {
+	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	return zap.New(zapcore.NewCore(encoder, zapcore.AddSync(b), zap.DebugLevel))
+}
+
 func newTier(t *testing.T, hosts int) *tier {
 	t.Helper()
 	return newTierWith(t, hosts, nil)
@@ -85,7 +112,7 @@
 	if err := fleet.Start(); err != nil {
 		t.Fatal(err)
 	}
-	tier := &tier{t: t, clock: clock, fleet: fleet, network: dcpeer.NewNetwork(), client: &http.Client{Transport: &http.Transport{}}, edges: edges}
+	tier := &tier{t: t, clock: clock, fleet: fleet, network: dcpeer.NewNetwork(), logs: &logBuffer{}, client: &http.Client{Transport: &http.Transport{}}, edges: edges}
 	for i := range hosts {
 		tier.startHost(i)
 	}
@@ -118,7 +145,7 @@
 		host.Settings.SeedPeers = []string{r.hosts[0].PeerListener.Addr().String()}
 	}
 	upstream := &dcupstream.Client{Clock: r.clock}
-	host.Store, host.Upstream, host.Clock, host.Log = r.fleet.Platform.Store, upstream, r.clock, zap.NewNop()
+	host.Store, host.Upstream, host.Clock, host.Log = r.fleet.Platform.Store, upstream, r.clock, r.logs.logger()
 	host.Random, host.Seed = rand.New(rand.NewSource(int64(number))), uint64(number)
 	if r.edges != nil {
 		r.edges(r, number, host)
@@ -132,10 +159,7 @@
 		upstream.Close()
 		ended <- err
 	}()
-	// A host takes calls of peers once it is prepared, as its listener does.
-	for host.view.Load() == nil {
-		runtime.Gosched()
-	}
+	<-host.Prepared()
 	r.network.Attach(address, peerService{host})
 	r.hosts, r.stops, r.ended = append(r.hosts, host), append(r.stops, stop), append(r.ended, ended)
 }
@@ -247,7 +271,8 @@
 	})
 }
 
-// knowsAll reports whether a host has heard every host and its revision.
+// knowsAll reports whether a host has heard from every host itself, and knows
+// its revision.
 func (r *tier) knowsAll(host *Host) bool {
 	known := host.members.hosts()
 	return len(known) == len(r.hosts) && !slices.ContainsFunc(known, func(other dcmembership.Host) bool {
