--- a/internal/dchost/target.go
+++ b/internal/dchost/target.go
@@ -26,8 +26,13 @@
 	// pollStep is the resolution of the status schedule.
 	pollStep = 50 * time.Millisecond
 	// pollSpread is the time over which the first polls are spread.
-	pollSpread   = 100 * time.Millisecond
-	pollTimeout  = time.Second
+	pollSpread  = 100 * time.Millisecond
+	pollTimeout = time.Second
+	// confirmDelay is the time from a failed poll to the next.
+	confirmDelay = 200 * time.Millisecond
+	// silentAfter is the time without any answer after which a server whose
+	// status does not come counts as closed.
+	silentAfter  = 2 * time.Second
 	limitsPeriod = 250 * time.Millisecond
 )
 
@@ -43,6 +48,10 @@
 	addr     dcid.ServerAddr
 	inFlight atomic.Int32
 	polling  atomic.Bool
+	// failedPolls counts failed polls since the last that succeeded.
+	failedPolls atomic.Int32
+	// lastAnswer is when the server last answered anything, Unix nanoseconds.
+	lastAnswer atomic.Int64
 	// lastPoll is used by the polling loop only.
 	lastPoll time.Time
 
@@ -64,6 +73,13 @@
 	}
 }
 
+// silent reports whether the server has answered nothing for a while. A late
+// status alone does not tell a frozen server from a busy one, whose other
+// answers keep coming.
+func (t *target) silent(now time.Time) bool {
+	return now.Sub(time.Unix(0, t.lastAnswer.Load())) >= silentAfter
+}
+
 func (t *target) limit(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -116,6 +132,9 @@
 // evidence takes what a response to a search or an order tells of its server.
 func (h *Host) evidence(target *target, response dcupstream.Response) {
 	h.noteMapEvidence(response.Code)
+	if response.Outcome == dcreason.Ran || response.Code.Place() == dcreason.UpstreamRefusal {
+		target.lastAnswer.Store(h.wall().UnixNano())
+	}
 	switch response.Code {
 	case dcreason.UpstreamDraining:
 		h.observe(target, dcmembership.Draining)
@@ -184,9 +203,21 @@
 	return due
 }
 
-func (h *Host) poll(ctx context.Context, target *target) {
+// confirm polls a server again soon after a failed poll, so that peers hear of
+// a server that is down within 3 s although only its owners poll it.
+func (h *Host) confirm(ctx context.Context, target *target) {
+	select {
+	case <-ctx.Done():
+	case <-h.Clock.After(confirmDelay):
+		if target.polling.CompareAndSwap(false, true) {
+			h.poll(ctx, target)
+		}
+	}
+}
+
+func (h *Host) poll(life context.Context, target *target) {
 	asked := h.wall()
-	ctx, cancel := timeout(ctx, h.Clock, pollTimeout)
+	ctx, cancel := timeout(life, h.Clock, pollTimeout)
 	defer cancel()
 	status, err := h.Upstream.Status(ctx, target.addr)
 	target.polling.Store(false)
@@ -200,8 +231,12 @@
 	late := context.Cause(ctx) != nil
 	h.noteState(target, status, err, asked, late)
 	if err != nil {
+		if target.failedPolls.Add(1) == 1 {
+			h.tasks.Go(func() { h.confirm(life, target) })
+		}
 		return
 	}
+	target.failedPolls.Store(0)
 	for _, group := range groups {
 		group.mu.Lock()
 		err := group.table.Report(target.addr, status, asked)
@@ -214,9 +249,12 @@
 
 func (h *Host) noteState(target *target, status *upstreamv1.Status, err error, asked time.Time, late bool) {
 	now := h.wall()
+	if err == nil {
+		target.lastAnswer.Store(now.UnixNano())
+	}
 	h.update(only(target), func(servers *dcmembership.Servers) bool {
 		if err != nil {
-			closed := !late && servers.Observe(target.addr, dcmembership.Closed, asked)
+			closed := (!late || target.silent(now)) && servers.Observe(target.addr, dcmembership.Closed, asked)
 			return servers.Probed(target.addr, false, asked, now) || closed
 		}
 		switch status.GetState() {
--- a/internal/dcmembership/servers.go
+++ b/internal/dcmembership/servers.go
@@ -132,8 +132,9 @@
 }
 
 // Probed takes the answer of a probe that was sent at a time. An answer as
-// serving clears every earlier signal but the operator's; any other result
-// confirms a closed connection.
+// serving clears earlier signals that were events; any other result confirms a
+// closed connection. What the host list or the operator says ends only when
+// they say otherwise, since the status of a leaving server may mislead.
 func (s *Servers) Probed(addr dcid.ServerAddr, serving bool, sent, now time.Time) (changed bool) {
 	known, ok := s.servers[addr]
 	if !ok {
@@ -141,7 +142,7 @@
 	}
 	for _, signal := range signals {
 		state := known.signals[signal]
-		if state == nil || !state.active || signal == Operator || !sent.After(state.seen.Add(state.hold)) {
+		if state == nil || !state.active || signal.stated() || !sent.After(state.seen.Add(state.hold)) {
 			continue
 		}
 		switch {
@@ -156,6 +157,11 @@
 	return changed
 }
 
+// stated reports a signal that its source repeats, unlike an event.
+func (s Signal) stated() bool {
+	return s == Operator || s == HostList
+}
+
 // clear ends a signal. A server that had left by more than an unconfirmed
 // closed connection is ramped up once no signal is left.
 func (s *Servers) clear(known *server, state *signalState, seen, now time.Time) {
