Take a silent server out of use only while others of its group answer

Cause: TestStopFinishesRunningRequests failed in 9 of 12 runs: with every server of a group frozen, the silence rule took all of them out of use and the running query ended as coverage-incomplete instead of waiting. Ruled out: any server that answered within 2 s, and any server of any group that answered since the poll was sent; both still failed (4 of 4, 3 of 4), since other groups kept answering. Check: 4 of 4 runs of dchost at once pass, with the other cases of TestEachSignalStopsNewWork.

--- a/internal/dchost/target.go
+++ b/internal/dchost/target.go
@@ -247,14 +247,34 @@
 	}
 }
 
+// othersAnswered reports whether another server of the target's groups has
+// answered since a time. When none has, the cause is hardly this server alone,
+// and taking all of them out of use would refuse queries that could still be
+// answered.
+func (h *Host) othersAnswered(asked *target, since time.Time) bool {
+	asked.mu.Lock()
+	groups := slices.Clone(asked.groups)
+	asked.mu.Unlock()
+	return slices.ContainsFunc(h.view.Load().ordered, func(other *target) bool {
+		return other != asked && other.lastAnswer.Load() > since.UnixNano() && other.servesAny(groups)
+	})
+}
+
+func (t *target) servesAny(groups []*group) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(groups, func(wanted *group) bool { return slices.Contains(t.groups, wanted) })
+}
+
 func (h *Host) noteState(target *target, status *upstreamv1.Status, err error, asked time.Time, late bool) {
 	now := h.wall()
 	if err == nil {
 		target.lastAnswer.Store(now.UnixNano())
 	}
+	silent := err != nil && target.silent(now) && h.othersAnswered(target, asked)
 	h.update(only(target), func(servers *dcmembership.Servers) bool {
 		if err != nil {
-			closed := (!late || target.silent(now)) && servers.Observe(target.addr, dcmembership.Closed, asked)
+			closed := (!late || silent) && servers.Observe(target.addr, dcmembership.Closed, asked)
 			return servers.Probed(target.addr, false, asked, now) || closed
 		}
 		switch status.GetState() {
