--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,6 @@
 	spec/check.sh
 
 ci: test fmt-check lint generate-check model
+
+capacity: build
+	$(BIN)/dandelioncart-bench capacity
--- a/internal/dccapacity/table.go
+++ b/internal/dccapacity/table.go
@@ -122,13 +122,22 @@
 		Core:  queries * perQuery.At(servers),
 		Basis: "fit over 30 to 620 shards; without HTTP and the kernel",
 	}, Row{
-		Role: "shard maps", Mechanism: "status polls of the steered group, once a second", Control: true,
-		Core:           perRound.At(servers),
-		BytesPerSecond: servers * statusBytes(),
-		Basis:          "fit over 30 to 620 servers; bytes are 310 status messages a second without HTTP",
+		Role: "shard maps", Mechanism: "status polls of the steered group by two owners each second, by others every tenth", Control: true,
+		Core:           pollShare() * perRound.At(servers),
+		BytesPerSecond: pollShare() * servers * statusBytes(),
+		Basis:          "fit over 30 to 620 servers; without HTTP; needs polls that follow steering",
 	})
 }
 
+// pollShare is the fraction of a steered group's servers that one host polls
+// each second.
+func pollShare() float64 {
+	const owners, idleIntervals = 2, 10
+	hosts := float64(Target.Hosts*Target.ServersPerQuery) / float64(Target.Servers)
+	owned := owners / hosts
+	return owned + (1-owned)/idleIntervals
+}
+
 func (r *Report) addAddresses(seed uint64) {
 	var cached, rebuilt []Point
 	for _, size := range Sizes {
