Hold the ports of local hosts until they start

Cause: a run with 64 hosts ended because another process had taken a port that was free when it was chosen; the demo had the same fault before. Not run again with 64 hosts yet.

--- a/internal/dclocal/dclocal.go
+++ b/internal/dclocal/dclocal.go
@@ -72,6 +72,26 @@
 	peers    string
 	settings string
 	process  *process
+	// held keeps the ports from other programs until the host starts.
+	held []net.Listener
+}
+
+// hold takes a free loopback port.
+func (h *host) hold() (address string, err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	h.held = append(h.held, listener)
+	return listener.Addr().String(), nil
+}
+
+// letGo frees the held ports.
+func (h *host) letGo() {
+	for _, listener := range h.held {
+		_ = listener.Close()
+	}
+	h.held = nil
 }
 
 // Start starts every process, applies the configuration and waits until each
@@ -148,25 +168,21 @@
 }
 
 // planHosts chooses addresses and writes the settings of each host.
-func (d *Deployment) planHosts() error {
+func (d *Deployment) planHosts() (err error) {
 	domains := d.profile.GetFailureDomains()
 	for index := range d.Hosts {
-		callers, err := freeAddress()
-		if err != nil {
+		id := fmt.Sprintf("host-%d", index+1)
+		planned := &host{id: id, domain: domains[index%len(domains)], settings: filepath.Join(d.Directory, id+".yaml")}
+		d.hosts = append(d.hosts, planned)
+		if planned.callers, err = planned.hold(); err != nil {
 			return err
 		}
 		if listed := d.profile.GetTierHosts(); index < len(listed) {
-			callers = listed[index]
+			planned.callers = listed[index]
 		}
-		peers, err := freeAddress()
-		if err != nil {
+		if planned.peers, err = planned.hold(); err != nil {
 			return err
 		}
-		id := fmt.Sprintf("host-%d", index+1)
-		d.hosts = append(d.hosts, &host{
-			id: id, domain: domains[index%len(domains)], callers: callers, peers: peers,
-			settings: filepath.Join(d.Directory, id+".yaml"),
-		})
 	}
 	for _, host := range d.hosts {
 		if err := d.writeSettings(host); err != nil {
@@ -198,16 +214,6 @@
 	return os.WriteFile(host.settings, text, 0o600)
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
 // StartHost starts a host, counted from 0, that is not running.
 func (d *Deployment) StartHost(index int) error {
 	host := d.hosts[index]
@@ -215,6 +221,7 @@
 	if err != nil {
 		return err
 	}
+	host.letGo()
 	host.process, err = startProcess(filepath.Join(d.Binaries, "dandelioncart"),
 		[]string{"serve", "--settings", host.settings}, log, log)
 	return err
@@ -250,6 +257,7 @@
 // Stop ends every process that is still running.
 func (d *Deployment) Stop() {
 	for _, host := range d.hosts {
+		host.letGo()
 		if host.process != nil && !host.process.exited() {
 			host.process.kill()
 		}
