Poll a server that answers nothing while requests wait for it

Cause: with two polling owners, other hosts learned of a frozen server from heartbeats only, about 6 s after it froze. Change: a host polls a server itself after 500 ms without any answer while requests are in flight; a server counts as closed after 1.5 s.

--- a/internal/dchost/pollduty.go
+++ b/internal/dchost/pollduty.go
@@ -20,6 +20,10 @@
 	// mapChange is the time for which every host polls every server after an
 	// answer shows that the shard map has changed.
 	mapChange = 3 * time.Second
+	// unansweredAfter is the time without an answer after which a host polls a
+	// server itself. It is below the poll timeout, so that the poll has ended
+	// when the server counts as silent.
+	unansweredAfter = 500 * time.Millisecond
 )
 
 // pollDuty decides which servers this host polls in an interval.
@@ -34,6 +38,7 @@
 func (d *pollDuty) due(target *target, now time.Time, interval time.Duration) bool {
 	if now.Before(target.lastPoll.Add(idlePolls*interval)) &&
 		!d.host.mapChanging(now) &&
+		!target.unanswered(now) &&
 		d.host.servers.usable(target.addr) &&
 		!d.owns(target.addr) {
 		return false
@@ -42,6 +47,13 @@
 	return true
 }
 
+// unanswered reports a server with requests of this host in flight that has
+// answered nothing for a while. Waiting for its owners to find it frozen took
+// about 6 s.
+func (t *target) unanswered(now time.Time) bool {
+	return t.inFlight.Load() > 0 && t.silence(now) >= unansweredAfter
+}
+
 // owns reports whether this host is an owner of the server by rendezvous
 // hashing over the hosts that are alive.
 func (d *pollDuty) owns(addr dcid.ServerAddr) bool {
--- a/internal/dchost/target.go
+++ b/internal/dchost/target.go
@@ -32,7 +32,7 @@
 	confirmDelay = 200 * time.Millisecond
 	// silentAfter is the time without any answer after which a server whose
 	// status does not come counts as closed.
-	silentAfter  = 2 * time.Second
+	silentAfter  = 1500 * time.Millisecond
 	limitsPeriod = 250 * time.Millisecond
 )
 
@@ -77,7 +77,11 @@
 // status alone does not tell a frozen server from a busy one, whose other
 // answers keep coming.
 func (t *target) silent(now time.Time) bool {
-	return now.Sub(time.Unix(0, t.lastAnswer.Load())) >= silentAfter
+	return t.silence(now) >= silentAfter
+}
+
+func (t *target) silence(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, t.lastAnswer.Load()))
 }
 
 func (t *target) limit(now time.Time) int {
