--- a/internal/dccapacity/table.go
+++ b/internal/dccapacity/table.go
@@ -14,8 +14,9 @@
 	// storeWatchersPerDomain is how many hosts of a failure domain wait on the
 	// store for configuration changes.
 	storeWatchersPerDomain = 2
-	// hostLeaseRenewal is the interval at which a host renews its lease.
-	hostLeaseRenewal = 10 * time.Second
+	// hostRecordInterval is the interval at which a host renews its lease and
+	// reads the records of all: 5 s for each 100 hosts.
+	hostRecordInterval = 65 * time.Second
 )
 
 // Row is the cost of one role on one host at the target.
@@ -102,7 +103,7 @@
 		Role: "membership, leaving servers", Mechanism: "SWIM-style heartbeats to 3 peers, bounded messages", Control: true,
 		Core: perInterval.At(hosts) / HeartbeatInterval.Seconds(), Bytes: view.At(hosts),
 		BytesPerSecond: last.BytesSent + last.BytesReceived,
-		StoreCalls:     hosts/hostLeaseRenewal.Seconds() + float64(Target.RestartsPerDay)*3/secondsPerDay,
+		StoreCalls:     2*hosts/hostRecordInterval.Seconds() + 8*float64(Target.RestartsPerDay)/secondsPerDay,
 		Basis:          "measured at the target's 1,300 instances; bytes without HTTP",
 	})
 }
