Ignore waiting times of upstreams that overflow

Cause: Server-Timing 'queue;dur=1e300' became a negative duration. Found by the seed corpus of the new FuzzAnswerHeaders, which fails before and passes after. Ruled out: dropping the whole answer, since the timing is only a hint.

--- a/internal/dcupstream/classify.go
+++ b/internal/dcupstream/classify.go
@@ -128,6 +128,10 @@
 	return got == "" || got == want
 }
 
+// maxQueueMS is the longest waiting time that is believed, one hour in
+// milliseconds. Larger numbers overflow a duration.
+const maxQueueMS = 3_600_000
+
 // queueTime reads the duration of the metric queue, in milliseconds, from
 // Server-Timing (W3C Server Timing). It is negative when there is none.
 func queueTime(header http.Header) time.Duration {
@@ -137,7 +141,7 @@
 			if err != nil || name != "queue" {
 				continue
 			}
-			if ms, err := strconv.ParseFloat(parameters["dur"], 64); err == nil && ms >= 0 {
+			if ms, err := strconv.ParseFloat(parameters["dur"], 64); err == nil && ms >= 0 && ms <= maxQueueMS {
 				return time.Duration(ms * float64(time.Millisecond))
 			}
 		}
--- /dev/null
+++ b/internal/dcupstream/fuzz_test.go
@@ -0,0 +1,25 @@
+package dcupstream
+
+import (
+	"net/http"
+	"testing"
+)
+
+// FuzzAnswerHeaders guards against headers of an upstream that crash a host, or
+// that give a waiting time below the one that stands for none.
+func FuzzAnswerHeaders(f *testing.F) {
+	f.Add("queue;dur=1.5, run;dur=4", "1", "1")
+	f.Add("queue;dur=NaN", "-1", "99999999999")
+	f.Add("queue;dur=1e300,queue", "", "x")
+	f.Add(";;;=,", "0", "0")
+	f.Fuzz(func(t *testing.T, timing, epoch, attempt string) {
+		header := http.Header{}
+		header.Set(HeaderServerTiming, timing)
+		header.Set(HeaderMapEpoch, epoch)
+		header.Set(HeaderAttempt, attempt)
+		readLabel(header, "s")
+		if waited := queueTime(header); waited < -1 {
+			t.Errorf("queue time of %q is %v", timing, waited)
+		}
+	})
+}
