Run on the users' platform through an adapter

Adds an engine that forwards requests by host and prefix, scatters queries to shards and merges records, and an adapter that translates the platform's settings, store, requests and address answers. The connection pool moves out of dcupstream so that both edges share it.

--- /dev/null
+++ b/internal/dcbudget/window.go
@@ -0,0 +1,79 @@
+package dcbudget
+
+import "time"
+
+const (
+	// windowSteps is the number of steps that a window is divided into.
+	windowSteps = 20
+	// windowMargin is the part of the allowance that one host uses. The rest
+	// covers the error of a step and hosts that count each other late.
+	windowMargin = 0.85
+	// restartShare is the part of the slack that one host uses, because a host
+	// that restarts forgets what it has spent in the window.
+	restartShare = 0.6
+)
+
+// Window limits the extra sends to a service over a sliding span of time, in
+// sum over all hosts: at most a ratio of the requests, and a slack that the
+// hosts share evenly. Each host applies the ratio to its own requests.
+type Window struct {
+	Span  time.Duration
+	Ratio float64
+	Slack float64
+
+	steps   [windowSteps + 1]windowStep
+	current int64
+}
+
+type windowStep struct {
+	requests, extra float64
+}
+
+// Request counts the first send of a request.
+func (w *Window) Request(now time.Time) {
+	w.step(now).requests++
+}
+
+// Extra counts an extra send that happened without a grant.
+func (w *Window) Extra(now time.Time) {
+	w.step(now).extra++
+}
+
+// Take grants one extra send if the window has room. hosts is the number of
+// hosts that share the slack, 0 when unknown: then only the ratio counts.
+func (w *Window) Take(hosts int, now time.Time) bool {
+	step := w.step(now)
+	if w.Level(hosts, now) < 1 {
+		return false
+	}
+	step.extra++
+	return true
+}
+
+// Level returns the number of extra sends that are left.
+func (w *Window) Level(hosts int, now time.Time) float64 {
+	w.step(now)
+	var used, requests float64
+	for _, step := range w.steps {
+		used += step.extra
+		requests += step.requests
+	}
+	allowed := w.Ratio * requests * windowMargin
+	if hosts > 0 {
+		allowed += w.Slack * restartShare / float64(hosts)
+	}
+	return allowed - used
+}
+
+// step returns the step of now and clears those that have left the window.
+func (w *Window) step(now time.Time) *windowStep {
+	number := now.UnixNano() / int64(w.Span/windowSteps)
+	count := int64(len(w.steps))
+	if number > w.current {
+		for old := max(w.current+1, number-count+1); old <= number; old++ {
+			w.steps[old%count] = windowStep{}
+		}
+		w.current = number
+	}
+	return &w.steps[w.current%count]
+}
--- /dev/null
+++ b/internal/dcbudget/window_test.go
@@ -0,0 +1,69 @@
+package dcbudget
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestWindowBound guards against extra sends above the bound in any sliding
+// span, in sum over hosts, whatever the pattern of requests.
+func TestWindowBound(t *testing.T) {
+	const (
+		seed, hosts  = 11, 4
+		span         = 10 * time.Second
+		ratio, slack = 0.2, 52.0
+	)
+	random := rand.New(rand.NewPCG(seed, 0))
+	windows := make([]Window, hosts)
+	for i := range windows {
+		windows[i] = Window{Span: span, Ratio: ratio, Slack: slack}
+	}
+	var requests, extras []time.Time
+	now := start
+	for range 40000 {
+		now = now.Add(time.Duration(random.ExpFloat64() * float64(2*time.Millisecond)))
+		w := &windows[random.IntN(hosts)]
+		// Requests stop for a while, as in an outage.
+		if now.Sub(start)/(7*time.Second)%3 != 1 {
+			w.Request(now)
+			requests = append(requests, now)
+		}
+		if w.Take(hosts, now) {
+			extras = append(extras, now)
+		}
+	}
+	within := func(times []time.Time, from, to time.Time) (count int) {
+		for _, at := range times {
+			if at.After(from) && !at.After(to) {
+				count++
+			}
+		}
+		return count
+	}
+	if len(extras) < len(requests)/10 {
+		t.Errorf("seed %d: only %d extra sends for %d requests", seed, len(extras), len(requests))
+	}
+	for end := start.Add(span); end.Before(now); end = end.Add(170 * time.Millisecond) {
+		from := end.Add(-span)
+		most := 0
+		for _, earlier := range []time.Duration{0, span / 2, span} {
+			most = max(most, within(requests, from.Add(-earlier), end.Add(-earlier)))
+		}
+		if got, bound := float64(within(extras, from, end)), ratio*float64(most)+slack; got > bound {
+			t.Fatalf("seed %d: %.0f extra sends until %v, bound %.0f", seed, got, end.Sub(start), bound)
+		}
+	}
+}
+
+// TestWindowWithoutHosts guards against use of the shared slack while the
+// number of hosts is unknown.
+func TestWindowWithoutHosts(t *testing.T) {
+	w := Window{Span: 10 * time.Second, Ratio: 0.2, Slack: 52}
+	if w.Take(0, start) {
+		t.Error("an extra send was granted without requests and hosts")
+	}
+	if !w.Take(4, start) {
+		t.Error("the share of the slack was not granted")
+	}
+}
--- /dev/null
+++ b/internal/dccommand/dcplatformcommand/dcplatformcommand.go
@@ -0,0 +1,97 @@
+// Package dcplatformcommand runs a host on the users' platform.
+package dcplatformcommand
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"io"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	tally "github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcengine"
+	"github.com/dandelioncart/dandelioncart/internal/dclog"
+	"github.com/dandelioncart/dandelioncart/platform"
+)
+
+const (
+	// metricsInterval is how often metrics are passed on to their handler.
+	metricsInterval = 2 * time.Second
+	// memoryShare of the limit is the size that the collector aims for. The
+	// rest holds stacks, socket buffers and the program itself.
+	memoryShare = 0.6
+	// collectionPercent is the growth of the heap between collections.
+	collectionPercent = 100
+)
+
+// Options of the program.
+type Options struct {
+	Settings    string `help:"Settings file of the platform." env:"DANDELIONCART_BOOT" required:""`
+	MetricsPort string `help:"Port that serves /metrics; none when empty." default:""`
+}
+
+// Help returns examples.
+func (o *Options) Help() string {
+	return `The host serves callers, the directory and the readiness checks of the platform
+until it receives SIGTERM. It then leaves the address answers and finishes what
+runs within the platform's stop time.
+
+Examples:
+
+  DANDELIONCART_BOOT=/etc/dandelioncart/local.yaml dandelioncart-platform
+  dandelioncart-platform --settings local.yaml --metrics-port 9464`
+}
+
+// Run serves until ctx ends.
+func (o *Options) Run(ctx context.Context, out io.Writer) (err error) {
+	defer func() { err = eris.Wrap(err, "serve") }()
+	settings, err := platform.LoadSettings(o.Settings)
+	if err != nil {
+		return err
+	}
+	if settings.Cores > 0 {
+		runtime.GOMAXPROCS(settings.Cores)
+	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(collectionPercent)
+	}
+	debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryShare))
+	output := dclog.NewOutput(out)
+	defer output.Close()
+	log := output.NewLogger().With(zap.String("host", string(settings.Host)))
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:          "dandelioncart",
+		CachedReporter:  reporter,
+		Separator:       prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, metricsInterval)
+	defer closer.Close()
+	host := &platform.Host{
+		Settings:       settings,
+		Clock:          clockwork.NewRealClock(),
+		Log:            log,
+		Meter:          dcengine.NewMeter(scope),
+		MetricsHandler: reporter.HTTPHandler(),
+	}
+	if o.MetricsPort != "" {
+		address, _, err := net.SplitHostPort(settings.CallerAddress)
+		if err != nil {
+			return err
+		}
+		host.MetricsAddress = net.JoinHostPort(address, o.MetricsPort)
+	}
+	if err := binary.Read(rand.Reader, binary.LittleEndian, &host.Seed); err != nil {
+		return err
+	}
+	return host.Run(ctx)
+}
--- a/internal/dccommand/dcservecommand/serve.go
+++ b/internal/dccommand/dcservecommand/serve.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/dandelioncart/dandelioncart/internal/dccommand"
+	"github.com/dandelioncart/dandelioncart/internal/dcconnpool"
 	"github.com/dandelioncart/dandelioncart/internal/dchost"
 	"github.com/dandelioncart/dandelioncart/internal/dchostlist"
 	"github.com/dandelioncart/dandelioncart/internal/dcpeer"
@@ -129,7 +130,7 @@
 	}
 	host.PeerTLS, host.CallerTLS = peerCertificates.MutualServer(), callerCertificates.Server()
 	store := dcstore.NewClient(settings.GetStore().GetEndpoints(), settings.GetStore().GetTimeout().AsDuration(), settings.GetStore().GetPrefix())
-	upstream := &dcupstream.Client{Clock: tool.Clock}
+	upstream := &dcupstream.Client{Pool: dcconnpool.Pool{Clock: tool.Clock}}
 	peer := dcpeer.NewClient(dcpeer.Options{TLS: peerCertificates.Client()})
 	host.Store, host.Upstream, host.Peer = store, upstream, peer
 	if settings.GetHostList().GetUrl() != "" {
--- a/internal/dcupstream/limiter.go
+++ b/internal/dcconnpool/limiter.go
@@ -1,4 +1,4 @@
-package dcupstream
+package dcconnpool
 
 import (
 	"context"
--- a/internal/dcupstream/connection.go
+++ b/internal/dcconnpool/server.go
@@ -1,4 +1,4 @@
-package dcupstream
+package dcconnpool
 
 import (
 	"context"
@@ -114,15 +114,15 @@
 
 // dial opens a counted connection within the server's share. It waits while
 // the share is used up by connections that are about to close.
-func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	target := c.server(dcid.ServerAddr(address))
-	ctx, cancel := context.WithTimeout(ctx, c.dialTimeout())
+func (p *Pool) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	target := p.server(dcid.ServerAddr(address))
+	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout())
 	defer cancel()
 	if err := target.connections.acquire(ctx); err != nil {
 		return nil, err
 	}
 	target.dials.Add(1)
-	raw, err := c.dialer.DialContext(ctx, network, address)
+	raw, err := p.Dialer.DialContext(ctx, network, address)
 	if err != nil {
 		target.connections.release()
 		return nil, err
--- /dev/null
+++ b/internal/dcengine/dcengine.go
@@ -0,0 +1,138 @@
+// Package dcengine answers callers' requests: it selects a route, sends the
+// request to one server or to one of each shard, and merges the answers. Edges
+// translate between it and the protocols of callers, servers and store.
+package dcengine
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcbalance"
+	"github.com/dandelioncart/dandelioncart/internal/dcforward"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcroute"
+)
+
+// Sender sends a request to a server, once.
+type Sender interface {
+	Send(ctx context.Context, server dcbalance.Server, request *dcforward.Request, idempotent bool, left time.Duration) dcforward.Answer
+}
+
+// Connections bounds the connections of this host to a server.
+type Connections interface {
+	SetLimit(addr dcid.ServerAddr, limit int)
+}
+
+// Hosts tells how many hosts share the servers.
+type Hosts interface {
+	// Count returns the number of hosts, 0 while unknown.
+	Count() int
+}
+
+// ExtraLoad bounds the extra sends to each service, in sum over all hosts.
+type ExtraLoad struct {
+	// Ratio of extra sends to requests.
+	Ratio float64
+	// Slack is the number of extra sends allowed beyond the ratio.
+	Slack float64
+	// Span is the sliding time that the bound holds for.
+	Span time.Duration
+}
+
+// Engine answers requests. Set the exported fields before the first call.
+type Engine struct {
+	Sender      Sender
+	Connections Connections
+	Hosts       Hosts
+	Clock       clockwork.Clock
+	Log         *zap.Logger
+	Meter       *Meter
+	// Domain is this host's failure domain.
+	Domain    dcid.FailureDomain
+	ExtraLoad ExtraLoad
+	Seed      uint64
+
+	table    atomic.Pointer[dcroute.Table]
+	inFlight atomic.Int64
+	services services
+	routes   routes
+}
+
+// services holds the state of each service, created when first named.
+type services struct {
+	mu     sync.RWMutex
+	byName map[dcid.ServiceName]*service
+}
+
+// Adopt puts a configuration in force if it is newer than the present one.
+func (e *Engine) Adopt(table *dcroute.Table) {
+	for {
+		current := e.table.Load()
+		if current != nil && table.Version <= current.Version {
+			e.Log.Info("configuration ignored, not newer",
+				zap.Int64("version", int64(table.Version)), zap.Int64("in-force", int64(current.Version)))
+			return
+		}
+		if e.table.CompareAndSwap(current, table) {
+			break
+		}
+	}
+	e.Log.Info("configuration in force", zap.Int64("version", int64(table.Version)),
+		zap.Int("routes", len(table.Routes)), zap.Int("services", len(table.Services)))
+	e.Meter.version.Update(float64(table.Version))
+	e.LimitConnections()
+}
+
+// Table returns the configuration in force, nil before the first.
+func (e *Engine) Table() *dcroute.Table { return e.table.Load() }
+
+// InFlight returns the number of requests that run.
+func (e *Engine) InFlight() int { return int(e.inFlight.Load()) }
+
+// LimitConnections shares the connections of all servers between the hosts. It
+// is called when the hosts or the configuration have changed.
+func (e *Engine) LimitConnections() {
+	table := e.table.Load()
+	if table == nil {
+		return
+	}
+	hosts := e.Hosts.Count()
+	if hosts == 0 {
+		hosts = unknownHosts
+	}
+	for i := range table.Services {
+		configured := &table.Services[i]
+		e.service(configured.Name).limit(max(configured.MaxConnections/(hosts+1), 1), e.Connections)
+	}
+}
+
+// unknownHosts is the number of hosts assumed while none are known. It keeps
+// the connections of a host low until it knows its peers.
+const unknownHosts = 7
+
+func (e *Engine) service(name dcid.ServiceName) *service {
+	e.services.mu.RLock()
+	found := e.services.byName[name]
+	e.services.mu.RUnlock()
+	if found != nil {
+		return found
+	}
+	e.services.mu.Lock()
+	defer e.services.mu.Unlock()
+	if found = e.services.byName[name]; found != nil {
+		return found
+	}
+	if e.services.byName == nil {
+		e.services.byName = make(map[dcid.ServiceName]*service)
+	}
+	e.Seed++
+	found = newService(name, e.Domain, e.ExtraLoad, rand.New(rand.NewPCG(e.Seed, uint64(len(name)))))
+	e.services.byName[name] = found
+	return found
+}
--- /dev/null
+++ b/internal/dcengine/handle.go
@@ -0,0 +1,156 @@
+package dcengine
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcattempt"
+	"github.com/dandelioncart/dandelioncart/internal/dcbalance"
+	"github.com/dandelioncart/dandelioncart/internal/dcforward"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	"github.com/dandelioncart/dandelioncart/internal/dcroute"
+)
+
+const (
+	// maxInFlight bounds the requests that one host runs. Beyond it a host
+	// would only add to their latency.
+	maxInFlight = 1000
+	// refusalWait is told to callers of refused requests.
+	refusalWait = 250 * time.Millisecond
+	// startWait is told to callers while no configuration is known.
+	startWait = 500 * time.Millisecond
+	// answerMarginShare of the latency target is kept for the way between
+	// caller and host, within answerMarginMin and answerMarginMax.
+	answerMarginShare = 0.18
+	answerMarginMin   = 6 * time.Millisecond
+	answerMarginMax   = 12 * time.Millisecond
+)
+
+// Reply is the final answer to a caller.
+type Reply struct {
+	Status int
+	Code   dcreason.Code
+	// RetryAfter is told with refusals; 0 when none.
+	RetryAfter time.Duration
+	// Answer is the server's answer that is passed on, or nil.
+	Answer *dcforward.Answer
+	// Proofs names the parts of a merged answer.
+	Proofs []string
+	// Missing is the number of shards that a merged answer lacks.
+	Missing int
+	// Body of a merged answer.
+	Body []byte
+}
+
+// Handle answers a request. ctx ends when the caller has left.
+func (e *Engine) Handle(ctx context.Context, request *dcforward.Request) Reply {
+	reply, route := e.handle(ctx, request)
+	elapsed := e.Clock.Since(request.Arrived)
+	e.Meter.request(reply.Code, elapsed)
+	e.logReply(request, route, reply, elapsed)
+	return reply
+}
+
+func (e *Engine) handle(ctx context.Context, request *dcforward.Request) (Reply, *dcroute.Route) {
+	table := e.table.Load()
+	if table == nil {
+		return Reply{Status: http.StatusServiceUnavailable, Code: dcreason.ConfigurationMissing, RetryAfter: startWait}, nil
+	}
+	route := table.Find(request.Host, request.Path)
+	if route == nil {
+		return Reply{Status: http.StatusNotFound, Code: dcreason.RouteUnknown}, nil
+	}
+	if e.inFlight.Add(1) > maxInFlight {
+		e.inFlight.Add(-1)
+		return refusal(dcreason.TooManyRequests), route
+	}
+	defer e.inFlight.Add(-1)
+	return e.newRun(request, route).run(ctx), route
+}
+
+func refusal(code dcreason.Code) Reply {
+	return Reply{Status: http.StatusServiceUnavailable, Code: code, RetryAfter: refusalWait}
+}
+
+// newRun plans the sends of a request.
+func (e *Engine) newRun(request *dcforward.Request, route *dcroute.Route) *run {
+	now := e.Clock.Now()
+	state := e.routes.get(route.Name)
+	r := &run{engine: e, request: request, route: route, state: state, hosts: e.Hosts.Count()}
+	names := route.Shards
+	if len(names) == 0 {
+		names = []dcid.ServiceName{state.choose(route.Split)}
+	}
+	for _, name := range names {
+		service := e.service(name)
+		service.request(now)
+		r.services = append(r.services, service)
+	}
+	rule := dcattempt.Rule{
+		Idempotent:  route.Idempotent,
+		MaxAttempts: route.MaxAttempts,
+		MinParts:    1,
+		Deadline:    request.Deadline,
+	}
+	if latest := request.Arrived.Add(route.Timeout); latest.Before(rule.Deadline) {
+		rule.Deadline = latest
+	}
+	if route.Idempotent {
+		rule.HedgeDelay = state.hedgeDelay(route.Target, now)
+	}
+	if len(route.Shards) > 0 {
+		rule.MinParts = route.MinParts()
+		rule.AnswerBy = request.Arrived.Add(route.Target - answerMargin(route.Target))
+	}
+	r.plan = dcattempt.New(rule, len(r.services), r)
+	r.answers = make([]*dcforward.Answer, len(r.services))
+	return r
+}
+
+func answerMargin(target time.Duration) time.Duration {
+	margin := time.Duration(float64(target) * answerMarginShare)
+	return min(max(margin, answerMarginMin), answerMarginMax)
+}
+
+func (e *Engine) logReply(request *dcforward.Request, route *dcroute.Route, reply Reply, elapsed time.Duration) {
+	if reply.Code == dcreason.OK && reply.Missing == 0 {
+		return
+	}
+	fields := []zap.Field{
+		zap.String("request", string(request.ID)),
+		zap.Int("status", reply.Status),
+		zap.String("reason", string(reply.Code)),
+		zap.Duration("elapsed", elapsed),
+		zap.Duration("allowed", request.Deadline.Sub(request.Arrived)),
+		zap.Int("missing-shards", reply.Missing),
+	}
+	if route != nil {
+		fields = append(fields, zap.String("route", string(route.Name)))
+	}
+	if reply.Code == dcreason.OK {
+		e.Log.Info("answered without all shards", fields...)
+		return
+	}
+	e.Log.Warn("request failed", fields...)
+}
+
+// logEnd reports a send that did not bring an answer.
+func (e *Engine) logEnd(request *dcforward.Request, send dcattempt.Send, answer *dcforward.Answer, service dcid.ServiceName, elapsed time.Duration) {
+	if answer.Outcome == dcbalance.Answered || answer.Outcome == dcbalance.Abandoned {
+		return
+	}
+	e.Log.Info("send failed",
+		zap.String("request", string(request.ID)),
+		zap.String("service", string(service)),
+		zap.String("server", string(send.Use.Server.ID)),
+		zap.String("address", string(send.Use.Server.Addr)),
+		zap.String("reason", string(answer.Code)),
+		zap.Int("status", answer.Status),
+		zap.Bool("extra", send.Extra),
+		zap.Duration("elapsed", elapsed),
+		zap.Error(answer.Err))
+}
--- /dev/null
+++ b/internal/dcengine/meter.go
@@ -0,0 +1,37 @@
+package dcengine
+
+import (
+	"time"
+
+	tally "github.com/uber-go/tally/v4"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+)
+
+// Meter holds the metrics of an engine.
+type Meter struct {
+	scope   tally.Scope
+	version tally.Gauge
+	sends   tally.Counter
+	hedges  tally.Counter
+	retries tally.Counter
+	short   tally.Counter
+}
+
+// NewMeter returns the metrics below a scope.
+func NewMeter(scope tally.Scope) *Meter {
+	return &Meter{
+		scope:   scope,
+		version: scope.Gauge("configuration_version"),
+		sends:   scope.Counter("sends"),
+		hedges:  scope.Counter("hedges"),
+		retries: scope.Counter("retries"),
+		short:   scope.Counter("answers_without_all_shards"),
+	}
+}
+
+// request counts a finished request.
+func (m *Meter) request(code dcreason.Code, elapsed time.Duration) {
+	m.scope.Tagged(map[string]string{"reason": string(code)}).Counter("requests").Inc(1)
+	m.scope.Timer("request_latency").Record(elapsed)
+}
--- /dev/null
+++ b/internal/dcengine/routes.go
@@ -0,0 +1,106 @@
+package dcengine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcbudget"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcroute"
+)
+
+const (
+	// hedgeQuantile is the share of answers that arrive before a hedge is sent.
+	hedgeQuantile = 0.9
+	// hedgeFraction is the extra load that hedges of a route may cause.
+	hedgeFraction = 0.2
+	// medianQuantile gives the usual latency that servers are compared with.
+	medianQuantile = 0.5
+	// firstHedgeShare is the part of the latency target after which a hedge is
+	// sent while too few latencies are known.
+	firstHedgeShare = 4
+)
+
+// routes holds what is learnt about each route, by name.
+type routes struct {
+	mu     sync.Mutex
+	byName map[dcid.RouteName]*routeState
+}
+
+// routeState holds the latencies of one route at its servers, and the position
+// in its split.
+type routeState struct {
+	mu     sync.Mutex
+	hedge  *dcbudget.Group
+	usual  *dcbudget.Group
+	credit map[dcid.ServiceName]float64
+}
+
+func (r *routes) get(name dcid.RouteName) *routeState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found := r.byName[name]
+	if found == nil {
+		if r.byName == nil {
+			r.byName = make(map[dcid.RouteName]*routeState)
+		}
+		found = &routeState{
+			hedge:  dcbudget.NewGroup(hedgeQuantile, hedgeFraction),
+			usual:  dcbudget.NewGroup(medianQuantile, 1),
+			credit: make(map[dcid.ServiceName]float64),
+		}
+		r.byName[name] = found
+	}
+	return found
+}
+
+// record takes the latency of an answer.
+func (r *routeState) record(latency time.Duration, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hedge.RecordLatency(latency, now)
+	r.usual.RecordLatency(latency, now)
+}
+
+// usualLatency returns the median latency at servers, 0 while unknown.
+func (r *routeState) usualLatency(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	usual, _ := r.usual.HedgeDelay(1, now)
+	return usual
+}
+
+// hedgeDelay returns the time to wait for an answer before a second send.
+func (r *routeState) hedgeDelay(target time.Duration, now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if delay, ok := r.hedge.HedgeDelay(1, now); ok {
+		return delay
+	}
+	return target / firstHedgeShare
+}
+
+// choose returns the service for the next request of a route. Each service
+// collects credit by its weight and the one with the most is chosen, which
+// keeps the shares exact over few requests.
+func (r *routeState) choose(split []dcroute.Share) dcid.ServiceName {
+	if len(split) == 1 {
+		return split[0].Service
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	total := 0.0
+	best := -1
+	for i, share := range split {
+		total += share.Weight
+		r.credit[share.Service] += share.Weight
+		if share.Weight > 0 && (best < 0 || r.credit[share.Service] > r.credit[split[best].Service]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return split[0].Service
+	}
+	r.credit[split[best].Service] -= total
+	return split[best].Service
+}
--- /dev/null
+++ b/internal/dcengine/service.go
@@ -0,0 +1,111 @@
+package dcengine
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcbalance"
+	"github.com/dandelioncart/dandelioncart/internal/dcbudget"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+)
+
+// service is what this host knows of the servers of one service.
+type service struct {
+	name dcid.ServiceName
+
+	mu      sync.Mutex
+	group   dcbalance.Group
+	extra   dcbudget.Window
+	servers []dcbalance.Server
+}
+
+func newService(name dcid.ServiceName, domain dcid.FailureDomain, extra ExtraLoad, random *rand.Rand) *service {
+	return &service{
+		name:  name,
+		group: dcbalance.Group{Domain: domain, Random: random},
+		extra: dcbudget.Window{Span: extra.Span, Ratio: extra.Ratio, Slack: extra.Slack},
+	}
+}
+
+// SetServer adds a server to a service, or changes it.
+func (e *Engine) SetServer(name dcid.ServiceName, server dcbalance.Server) {
+	service := e.service(name)
+	service.set(server)
+	e.LimitConnections()
+}
+
+// RemoveServer removes a server from a service.
+func (e *Engine) RemoveServer(name dcid.ServiceName, id dcid.ServerID) {
+	service := e.service(name)
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	service.servers = slices.DeleteFunc(service.servers, func(s dcbalance.Server) bool { return s.ID == id })
+	service.group.Set(service.servers)
+}
+
+func (s *service) set(server dcbalance.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	index := slices.IndexFunc(s.servers, func(known dcbalance.Server) bool { return known.ID == server.ID })
+	if index < 0 {
+		s.servers = append(s.servers, server)
+	} else {
+		s.servers[index] = server
+	}
+	s.group.Set(s.servers)
+}
+
+// limit sets this host's share of the connections to each server.
+func (s *service) limit(share int, connections Connections) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.group.MaxRunning = share
+	for _, server := range s.servers {
+		connections.SetLimit(server.Addr, share)
+	}
+}
+
+// pick starts a send. It counts first sends as requests, and extra ones
+// against the budget.
+func (s *service) pick(exclude []dcid.ServerID, extra bool, hosts int, now time.Time) (*dcbalance.Use, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if extra && s.extra.Level(hosts, now) < 1 {
+		return nil, false
+	}
+	use, ok := s.group.Pick(exclude, now)
+	if ok && extra {
+		s.extra.Extra(now)
+	}
+	return use, ok
+}
+
+// request counts a request to the service.
+func (s *service) request(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.extra.Request(now)
+}
+
+func (s *service) silent(use *dcbalance.Use, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.group.Silent(use, now)
+}
+
+func (s *service) end(use *dcbalance.Use, outcome dcbalance.Outcome, usual time.Duration, resends int, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.group.End(use, outcome, usual, now)
+	for range resends {
+		s.extra.Extra(now)
+	}
+}
+
+func (s *service) usable() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.group.Len()
+}
--- a/internal/dchost/host.go
+++ b/internal/dchost/host.go
@@ -24,6 +24,7 @@
 	"github.com/dandelioncart/dandelioncart/internal/dcauth"
 	"github.com/dandelioncart/dandelioncart/internal/dcburn"
 	"github.com/dandelioncart/dandelioncart/internal/dcconfig"
+	"github.com/dandelioncart/dandelioncart/internal/dcconnpool"
 	"github.com/dandelioncart/dandelioncart/internal/dcdrain"
 	"github.com/dandelioncart/dandelioncart/internal/dchostlist"
 	"github.com/dandelioncart/dandelioncart/internal/dcid"
@@ -37,7 +38,7 @@
 // server can be limited at run time.
 type ConnectionLimiter interface {
 	SetLimit(server dcid.ServerAddr, limit int)
-	Connections(server dcid.ServerAddr) dcupstream.Connections
+	Connections(server dcid.ServerAddr) dcconnpool.Connections
 }
 
 // Host is one entry host. Set the exported fields before Run.
--- a/internal/dchost/tier_test.go
+++ b/internal/dchost/tier_test.go
@@ -29,6 +29,7 @@
 	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
 	standinv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/standin/v1"
 
+	"github.com/dandelioncart/dandelioncart/internal/dcconnpool"
 	"github.com/dandelioncart/dandelioncart/internal/dcmembership"
 	"github.com/dandelioncart/dandelioncart/internal/dcpeer"
 	"github.com/dandelioncart/dandelioncart/internal/dcstandin"
@@ -144,7 +145,7 @@
 	if len(r.hosts) > 0 {
 		host.Settings.SeedPeers = []string{r.hosts[0].PeerListener.Addr().String()}
 	}
-	upstream := &dcupstream.Client{Clock: r.clock}
+	upstream := &dcupstream.Client{Pool: dcconnpool.Pool{Clock: r.clock}}
 	host.Store, host.Upstream, host.Clock, host.Log = r.fleet.Platform.Store, upstream, r.clock, r.logs.logger()
 	host.Random, host.Seed = rand.New(rand.NewSource(int64(number))), uint64(number)
 	if r.edges != nil {
--- a/internal/dcid/dcid.go
+++ b/internal/dcid/dcid.go
@@ -50,3 +50,10 @@
 
 // Partition numbers a ledger partition, from 0.
 type Partition int32
+
+// RouteName names a route of a configuration.
+type RouteName string
+
+// ServerID names one start of an upstream server. An address can belong to
+// several servers, one after the other.
+type ServerID string
--- /dev/null
+++ b/internal/dclog/dclog.go
@@ -0,0 +1,125 @@
+// Package dclog writes log lines without ever blocking their writers.
+package dclog
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	// queueLines is the number of lines that wait for a slow reader. Lines of
+	// lower levels may use half of it.
+	queueLines = 2048
+	// perSecond and thereafter bound the lines of one message below the level
+	// of warnings: each one up to perSecond, then one in thereafter.
+	perSecond  = 40
+	thereafter = 100
+)
+
+// Output writes lines in the background. Lines that find its queue full are
+// dropped and counted.
+type Output struct {
+	out   io.Writer
+	lines chan []byte
+	done  chan struct{}
+	once  sync.Once
+
+	mu      sync.Mutex
+	dropped int
+	closed  bool
+}
+
+// NewOutput returns an output that writes to out until Close.
+func NewOutput(out io.Writer) *Output {
+	o := &Output{out: out, lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	go o.run()
+	return o
+}
+
+// NewLogger returns a logger that writes JSON lines. Warnings are dropped only
+// when the queue is full; other lines are sampled and dropped earlier.
+func (o *Output) NewLogger() *zap.Logger {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	encoder := zapcore.NewJSONEncoder(config)
+	below := zap.LevelEnablerFunc(func(level zapcore.Level) bool { return level == zapcore.InfoLevel })
+	usual := zapcore.NewCore(encoder, &sink{o, queueLines / 2}, below)
+	sampled := zapcore.NewSamplerWithOptions(usual, time.Second, perSecond, thereafter,
+		zapcore.SamplerHook(func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
+			if decision&zapcore.LogDropped != 0 {
+				o.drop()
+			}
+		}))
+	urgent := zapcore.NewCore(encoder.Clone(), &sink{o, queueLines}, zapcore.WarnLevel)
+	return zap.New(zapcore.NewTee(sampled, urgent))
+}
+
+// Close writes the lines that wait and stops.
+func (o *Output) Close() {
+	o.once.Do(func() {
+		o.mu.Lock()
+		o.closed = true
+		close(o.lines)
+		o.mu.Unlock()
+	})
+	<-o.done
+}
+
+func (o *Output) run() {
+	defer close(o.done)
+	for line := range o.lines {
+		// There is no other place to report a failure of the log itself.
+		_, _ = o.out.Write(line)
+		if dropped := o.takeDropped(); dropped > 0 {
+			_, _ = fmt.Fprintf(o.out, `{"level":"info","msg":"log lines left out","count":%d}`+"\n", dropped)
+		}
+	}
+}
+
+func (o *Output) drop() {
+	o.mu.Lock()
+	o.dropped++
+	o.mu.Unlock()
+}
+
+func (o *Output) takeDropped() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.dropped < perSecond && !o.closed {
+		return 0
+	}
+	dropped := o.dropped
+	o.dropped = 0
+	return dropped
+}
+
+// sink takes lines while the queue holds fewer than limit.
+type sink struct {
+	output *Output
+	limit  int
+}
+
+// Write implements zapcore.WriteSyncer.
+func (s *sink) Write(line []byte) (int, error) {
+	o := s.output
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed || len(o.lines) >= s.limit {
+		o.dropped++
+		return len(line), nil
+	}
+	select {
+	case o.lines <- append([]byte(nil), line...):
+	default:
+		o.dropped++
+	}
+	return len(line), nil
+}
+
+// Sync implements zapcore.WriteSyncer. Lines are written in the background.
+func (s *sink) Sync() error { return nil }
--- /dev/null
+++ b/internal/dcmirror/dcmirror_test.go
@@ -0,0 +1,158 @@
+package dcmirror
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcstore"
+)
+
+// recorder lists what an observer was told.
+type recorder struct {
+	mu    sync.Mutex
+	calls []string
+}
+
+func (r *recorder) add(call string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls = append(r.calls, call)
+}
+
+func (r *recorder) Put(record dcstore.Record) {
+	r.add("put " + record.Key + "=" + string(record.Value))
+}
+func (r *recorder) Doubt(key string)  { r.add("doubt " + key) }
+func (r *recorder) Remove(key string) { r.add("remove " + key) }
+func (r *recorder) Synced()           { r.add("synced") }
+
+func (r *recorder) take() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	taken := strings.Join(r.calls, ", ")
+	r.calls = nil
+	return taken
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(key string, revision dcstore.Revision) dcstore.Record {
+	return dcstore.Record{Key: key, Value: []byte{'v'}, Modified: revision}
+}
+
+func gone(key string, revision dcstore.Revision) dcstore.Change {
+	return dcstore.Change{Record: dcstore.Record{Key: key, Modified: revision}, Removed: true}
+}
+
+// TestLapses guards against servers that are dropped because their records
+// lapsed in an outage, and against ones that are kept although they stay away.
+func TestLapses(t *testing.T) {
+	var seen recorder
+	c := newCopied(&seen)
+	c.replace([]dcstore.Record{at("a", 1), at("b", 2)}, start)
+	if got := seen.take(); got != "put a=v, put b=v" {
+		t.Fatal(got)
+	}
+	c.regained = start
+	c.replace(nil, start)
+	if got := seen.take(); !strings.Contains(got, "doubt a") || !strings.Contains(got, "doubt b") {
+		t.Fatal(got)
+	}
+	c.expire(start.Add(lapseHold - 1))
+	if got := seen.take(); got != "" {
+		t.Errorf("%q before the owners had time to return", got)
+	}
+	c.change([]dcstore.Change{{Record: at("a", 5)}}, start.Add(lapseHold-1))
+	c.expire(start.Add(lapseHold))
+	if got := seen.take(); got != "put a=v, remove b" {
+		t.Error(got)
+	}
+}
+
+// TestOrder guards against an older state of a record that replaces a newer
+// one, as pages of a snapshot and changes can overlap.
+func TestOrder(t *testing.T) {
+	var seen recorder
+	c := newCopied(&seen)
+	c.replace([]dcstore.Record{at("a", 7)}, start)
+	c.change([]dcstore.Change{{Record: at("a", 6)}, gone("a", 5), gone("x", 9)}, start)
+	if got := seen.take(); got != "put a=v" {
+		t.Error(got)
+	}
+	c.change([]dcstore.Change{gone("a", 8), {Record: at("a", 9)}}, start)
+	c.expire(start.Add(time.Hour))
+	if got := seen.take(); got != "doubt a, put a=v" {
+		t.Error(got)
+	}
+}
+
+// scripted answers calls from a list and then blocks.
+type scripted struct {
+	mu      sync.Mutex
+	answers []update
+	calls   []string
+}
+
+func (s *scripted) next(ctx context.Context, call string) update {
+	s.mu.Lock()
+	s.calls = append(s.calls, call)
+	if len(s.answers) == 0 {
+		s.mu.Unlock()
+		<-ctx.Done()
+		return update{err: ctx.Err()}
+	}
+	answer := s.answers[0]
+	s.answers = s.answers[1:]
+	s.mu.Unlock()
+	return answer
+}
+
+func (s *scripted) Snapshot(ctx context.Context, _ string) ([]dcstore.Record, dcstore.Revision, error) {
+	answer := s.next(ctx, "snapshot")
+	return answer.records, answer.revision, answer.err
+}
+
+func (s *scripted) Changes(ctx context.Context, _ string, _ dcstore.Revision) ([]dcstore.Change, dcstore.Revision, error) {
+	answer := s.next(ctx, "changes")
+	return answer.changes, answer.revision, answer.err
+}
+
+// TestRun guards against a copy that stops after a lost history or an outage.
+func TestRun(t *testing.T) {
+	history := &scripted{answers: []update{
+		{err: errors.New("refused")},
+		{records: []dcstore.Record{at("a", 1)}, revision: 1},
+		{changes: []dcstore.Change{{Record: at("a", 2)}}, revision: 2},
+		{err: dcstore.ErrHistoryGone},
+		{records: []dcstore.Record{at("a", 2), at("b", 3)}, revision: 3},
+		{err: errors.New("reset")},
+		{changes: []dcstore.Change{gone("b", 4)}, revision: 4},
+	}}
+	var seen recorder
+	mirror := &Mirror{History: history, Observer: &seen, Clock: clockwork.NewRealClock(), Log: zap.NewNop()}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	done := make(chan error, 1)
+	go func() { done <- mirror.Run(ctx) }()
+	want := "put a=v, synced, put a=v, put b=v, doubt b, remove b"
+	got := ""
+	for ctx.Err() == nil && got != want {
+		time.Sleep(10 * time.Millisecond)
+		if more := seen.take(); more != "" {
+			got = strings.TrimPrefix(got+", "+more, ", ")
+		}
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if got != want {
+		t.Errorf("got  %s\nwant %s", got, want)
+	}
+}
--- a/internal/dcreason/dcreason.go
+++ b/internal/dcreason/dcreason.go
@@ -73,6 +73,9 @@
 	UpstreamCrashed      Code = "upstream-crashed"
 	ConnectionRefused    Code = "connection-refused"
 	ConnectionFailed     Code = "connection-failed"
+	StaleServer          Code = "stale-server"
+	RouteUnknown         Code = "route-unknown"
+	TooManyRequests      Code = "too-many-requests"
 	PeerUnavailable      Code = "peer-unavailable"
 	CoverageIncomplete   Code = "coverage-incomplete"
 	OutcomeUnknown       Code = "outcome-unknown"
@@ -100,6 +103,8 @@
 	ConfigurationStale:   StaleEvidence,
 	ConfigurationMissing: StaleEvidence,
 	MapUnknown:           StaleEvidence,
+	StaleServer:          StaleEvidence,
+	TooManyRequests:      LocalLimit,
 }
 
 // Place returns where the code is decided; local-policy unless listed
--- a/internal/dcstore/store.go
+++ b/internal/dcstore/store.go
@@ -72,3 +72,33 @@
 	// Revoke ends a lease and removes its keys.
 	Revoke(ctx context.Context, lease LeaseID) error
 }
+
+// ErrHistoryGone reports that the changes after a revision are no longer kept.
+var ErrHistoryGone = errors.New("history is no longer available")
+
+// Change is a record as it was written, or the removal of a key.
+type Change struct {
+	Record
+	Removed bool
+}
+
+// History is the part of the key-value service that keeps a copy of the
+// records below a prefix current.
+type History interface {
+	// Snapshot returns the records below a prefix, and the revision after which
+	// Changes continues. It is linearizable.
+	Snapshot(ctx context.Context, prefix string) ([]Record, Revision, error)
+	// Changes waits for changes after a revision, and returns them with the
+	// revision to continue from. It returns ErrHistoryGone when they are no
+	// longer kept, and no change when none happened for a while.
+	Changes(ctx context.Context, prefix string, after Revision) ([]Change, Revision, error)
+}
+
+// Registry is the part of the key-value service that keeps the record of a
+// host for as long as the host renews its lease.
+type Registry interface {
+	CompareAndSwap(ctx context.Context, swap Swap) (Revision, error)
+	GrantLease(ctx context.Context, lifetime time.Duration) (LeaseID, error)
+	KeepAlive(ctx context.Context, lease LeaseID) error
+	Revoke(ctx context.Context, lease LeaseID) error
+}
--- a/internal/dcupstream/classify.go
+++ b/internal/dcupstream/classify.go
@@ -12,23 +12,23 @@
 	"syscall"
 	"time"
 
+	"github.com/dandelioncart/dandelioncart/internal/dcconnpool"
 	"github.com/dandelioncart/dandelioncart/internal/dcid"
 	"github.com/dandelioncart/dandelioncart/internal/dcreason"
 )
 
 // classify decides outcome and code of a transmission that failed without a
 // complete answer. Only a request that was never written is proven not to have
-// run. The transport closes a cancelled connection before it returns, so a
-// request that is not marked as written by then is never written.
-func (e *exchange) classify(ctx context.Context, err error) (dcreason.Outcome, dcreason.Code) {
-	if !e.written.Load() {
+// run.
+func classify(ctx context.Context, exchange *dcconnpool.Exchange, err error) (dcreason.Outcome, dcreason.Code) {
+	if !exchange.Written() {
 		return dcreason.NotRun, unsentCode(ctx, err)
 	}
 	ended := contextError(ctx)
 	switch {
 	case ended != nil:
 		return dcreason.Unknown, contextCode(ended)
-	case e.answered.Load() && !connectionLost(err):
+	case exchange.Answered() && !connectionLost(err):
 		return dcreason.Unknown, dcreason.UpstreamMalformed
 	default:
 		return dcreason.Unknown, dcreason.UpstreamCrashed
--- a/internal/dcupstream/client.go
+++ b/internal/dcupstream/client.go
@@ -4,13 +4,9 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -19,6 +15,7 @@
 
 	upstreamv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/upstream/v1"
 
+	"github.com/dandelioncart/dandelioncart/internal/dcconnpool"
 	"github.com/dandelioncart/dandelioncart/internal/dcid"
 	"github.com/dandelioncart/dandelioncart/internal/dcreason"
 )
@@ -39,60 +36,20 @@
 )
 
 const (
-	defaultLimit        = 1
 	defaultMaxBodyBytes = 16 << 20
-	defaultDialTimeout  = 2 * time.Second
-	idleTimeout         = 60 * time.Second
 	statusBodyBytes     = 1 << 20
-	// maxIdlePerServer does not restrict anything: the server's share does.
-	maxIdlePerServer = 1 << 16
 )
 
 // Client is the net/http client of the upstream protocol. Set the exported
 // fields before the first call.
 type Client struct {
-	Clock clockwork.Clock
+	dcconnpool.Pool
 	// MaxBodyBytes limits the answer of one request; 16 MiB when 0.
 	MaxBodyBytes int64
-	// DefaultLimit is the share of connections to a server for which SetLimit
-	// was not called; 1 when 0.
-	DefaultLimit int
-	// DialTimeout limits the time to open a connection; 2 s when 0.
-	DialTimeout time.Duration
-
-	once      sync.Once
-	dialer    net.Dialer
-	transport *http.Transport
-	servers   serverTable
 }
 
 var _ Upstream = (*Client)(nil)
 
-// Connections is the use of the share of one server.
-type Connections struct {
-	Open, Limit int
-	// Dials counts connections opened or refused since the start.
-	Dials int64
-}
-
-// SetLimit sets this host's share of the connections to a server. Connections
-// above a lower share close when their request ends, idle ones at once.
-func (c *Client) SetLimit(addr dcid.ServerAddr, limit int) {
-	c.server(addr).setLimit(limit)
-}
-
-// Connections returns the use of a server's share.
-func (c *Client) Connections(addr dcid.ServerAddr) Connections {
-	target := c.server(addr)
-	open, limit := target.connections.state()
-	return Connections{Open: open, Limit: limit, Dials: target.dials.Load()}
-}
-
-// Close closes idle connections.
-func (c *Client) Close() {
-	c.roundTripper().CloseIdleConnections()
-}
-
 // Search implements Upstream.
 func (c *Client) Search(ctx context.Context, search Search) Response {
 	ctx, cancel := clockwork.WithDeadline(ctx, c.Clock, search.Deadline)
@@ -138,17 +95,16 @@
 // Status implements Upstream.
 func (c *Client) Status(ctx context.Context, addr dcid.ServerAddr) (status *upstreamv1.Status, err error) {
 	defer func() { err = eris.Wrapf(err, "read the status of %s", addr) }()
-	target := c.server(addr)
-	if err := target.requests.acquire(ctx); err != nil {
+	release, err := c.Acquire(ctx, addr)
+	if err != nil {
 		return nil, err
 	}
-	defer target.requests.release()
-	exchange := exchange{server: target}
-	request, err := http.NewRequestWithContext(exchange.trace(ctx), http.MethodGet, "http://"+string(addr)+"/v1/status", nil)
+	defer release()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(addr)+"/v1/status", nil)
 	if err != nil {
 		return nil, err
 	}
-	answer, err := c.roundTripper().RoundTrip(request)
+	answer, _, err := c.RoundTrip(addr, request)
 	if err != nil {
 		return nil, err
 	}
@@ -178,12 +134,12 @@
 // labelled function checks the labels of a successful answer.
 func (c *Client) send(ctx context.Context, call call, labelled func(*http.Response, *Response) bool) (response Response) {
 	response.QueueTime = -1
-	target := c.server(call.server)
-	if target.requests.acquire(ctx) != nil {
+	release, err := c.Acquire(ctx, call.server)
+	if err != nil {
 		response.Outcome, response.Code = dcreason.NotRun, contextCode(contextError(ctx))
 		return response
 	}
-	defer target.requests.release()
+	defer release()
 	if !call.deadline.IsZero() {
 		remaining := call.deadline.Sub(c.Clock.Now())
 		if remaining <= 0 {
@@ -192,31 +148,29 @@
 		}
 		call.header.Set(HeaderDeadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	}
-	exchange := exchange{server: target}
-	request, err := newRequest(exchange.trace(ctx), call)
+	request, err := newRequest(ctx, call)
 	if err != nil {
 		response.Outcome, response.Code = dcreason.NotRun, dcreason.Internal
 		return response
 	}
-	request.Close = target.aboveLimit()
-	answer, err := c.roundTripper().RoundTrip(request)
-	response.Connect = exchange.dialled.Load()
+	answer, exchange, err := c.RoundTrip(call.server, request)
+	response.Connect = exchange.Dialled()
 	if err != nil {
-		response.Outcome, response.Code = exchange.classify(ctx, err)
+		response.Outcome, response.Code = classify(ctx, exchange, err)
 		return response
 	}
 	defer answer.Body.Close()
-	c.read(ctx, answer, &exchange, &response, labelled)
+	c.read(ctx, answer, exchange, &response, labelled)
 	return response
 }
 
-func (c *Client) read(ctx context.Context, answer *http.Response, exchange *exchange, response *Response, labelled func(*http.Response, *Response) bool) {
+func (c *Client) read(ctx context.Context, answer *http.Response, exchange *dcconnpool.Exchange, response *Response, labelled func(*http.Response, *Response) bool) {
 	response.QueueTime = queueTime(answer.Header)
 	limit := c.maxBodyBytes()
 	content, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
 	switch {
 	case err != nil:
-		response.Outcome, response.Code = exchange.classify(ctx, err)
+		response.Outcome, response.Code = classify(ctx, exchange, err)
 	case answer.StatusCode != http.StatusOK:
 		response.Outcome, response.Code = classifyStatus(answer)
 	case int64(len(content)) > limit || !labelled(answer, response):
@@ -243,32 +197,6 @@
 	return request, nil
 }
 
-// exchange records how far one transmission came.
-type exchange struct {
-	server   *server
-	conn     atomic.Pointer[net.Conn]
-	dialled  atomic.Bool
-	written  atomic.Bool
-	answered atomic.Bool
-}
-
-func (e *exchange) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			e.conn.Store(&info.Conn)
-			e.dialled.Store(!info.Reused)
-			e.server.mark(info.Conn, false)
-		},
-		PutIdleConn: func(err error) {
-			if conn := e.conn.Load(); conn != nil && err == nil {
-				e.server.mark(*conn, true)
-			}
-		},
-		WroteHeaders:         func() { e.written.Store(true) },
-		GotFirstResponseByte: func() { e.answered.Store(true) },
-	})
-}
-
 func (c *Client) header(request dcid.RequestID, schema dcid.SchemaVersion, attempt dcid.Attempt) http.Header {
 	header := http.Header{}
 	header.Set(HeaderRequestID, string(request))
@@ -277,28 +205,9 @@
 	return header
 }
 
-func (c *Client) server(addr dcid.ServerAddr) *server {
-	return c.servers.get(addr, positive(c.DefaultLimit, defaultLimit))
-}
-
-func (c *Client) maxBodyBytes() int64        { return positive(c.MaxBodyBytes, defaultMaxBodyBytes) }
-func (c *Client) dialTimeout() time.Duration { return positive(c.DialTimeout, defaultDialTimeout) }
-
-func positive[T int | int64 | time.Duration](value, otherwise T) T {
-	if value > 0 {
-		return value
+func (c *Client) maxBodyBytes() int64 {
+	if c.MaxBodyBytes > 0 {
+		return c.MaxBodyBytes
 	}
-	return otherwise
-}
-
-func (c *Client) roundTripper() *http.Transport {
-	c.once.Do(func() {
-		c.transport = &http.Transport{
-			DialContext:         c.dial,
-			MaxIdleConnsPerHost: maxIdlePerServer,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		}
-	})
-	return c.transport
+	return defaultMaxBodyBytes
 }
--- a/internal/dcupstream/client_test.go
+++ b/internal/dcupstream/client_test.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/goleak"
 
+	"github.com/dandelioncart/dandelioncart/internal/dcconnpool"
 	"github.com/dandelioncart/dandelioncart/internal/dcid"
 	"github.com/dandelioncart/dandelioncart/internal/dcreason"
 )
@@ -30,7 +31,7 @@
 
 func newClient(t *testing.T) *Client {
 	t.Helper()
-	client := &Client{Clock: clockwork.NewFakeClock(), DefaultLimit: 4, MaxBodyBytes: 8}
+	client := &Client{Pool: dcconnpool.Pool{Clock: clockwork.NewFakeClock(), DefaultLimit: 4}, MaxBodyBytes: 8}
 	t.Cleanup(client.Close)
 	return client
 }
@@ -195,7 +196,7 @@
 	}
 	<-entered
 	<-entered
-	want := Connections{Open: 2, Limit: 2, Dials: 2}
+	want := dcconnpool.Connections{Open: 2, Limit: 2, Dials: 2}
 	if diff := cmp.Diff(want, client.Connections(addr)); diff != "" {
 		t.Error(diff)
 	}
@@ -208,7 +209,7 @@
 		}
 	}
 	client.SetLimit(addr, 1)
-	want = Connections{Open: 1, Limit: 1, Dials: 3}
+	want = dcconnpool.Connections{Open: 1, Limit: 1, Dials: 3}
 	if diff := cmp.Diff(want, client.Connections(addr)); diff != "" {
 		t.Error(diff)
 	}
