--- a/internal/dcbudget/window.go
+++ b/internal/dcbudget/window.go
@@ -23,6 +23,9 @@
 
 	steps   [windowSteps + 1]windowStep
 	current int64
+	// origin is the time of the first step. Steps are counted from it, since
+	// the time of day can jump.
+	origin time.Time
 }
 
 type windowStep struct {
@@ -67,7 +70,10 @@
 
 // step returns the step of now and clears those that have left the window.
 func (w *Window) step(now time.Time) *windowStep {
-	number := now.UnixNano() / int64(w.Span/windowSteps)
+	if w.origin.IsZero() {
+		w.origin = now
+	}
+	number := int64(now.Sub(w.origin) / (w.Span / windowSteps))
 	count := int64(len(w.steps))
 	if number > w.current {
 		for old := max(w.current+1, number-count+1); old <= number; old++ {
--- a/internal/dccommand/dcplatformcommand/dcplatformcommand.go
+++ b/internal/dccommand/dcplatformcommand/dcplatformcommand.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -93,5 +95,30 @@
 	if err := binary.Read(rand.Reader, binary.LittleEndian, &host.Seed); err != nil {
 		return err
 	}
+	defer zap.RedirectStdLog(log)()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ended := make(chan struct{})
+	defer close(ended)
+	go o.reloadOn(hangups, host, ended)
 	return host.Run(ctx)
 }
+
+// reloadOn reads the settings again at each signal. A file that cannot be used
+// leaves the settings as they are.
+func (o *Options) reloadOn(hangups <-chan os.Signal, host *platform.Host, ended <-chan struct{}) {
+	for {
+		select {
+		case <-ended:
+			return
+		case <-hangups:
+		}
+		settings, err := platform.LoadSettings(o.Settings)
+		if err != nil {
+			host.Log.Error("settings not reloaded", zap.Error(err))
+			continue
+		}
+		host.Reload(settings)
+	}
+}
--- a/internal/dcconnpool/pool.go
+++ b/internal/dcconnpool/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -80,25 +81,29 @@
 	return target.requests.release, nil
 }
 
-// RoundTrip sends a request once Acquire has returned. The transport sends a
-// request without a body again by itself if a kept connection ends before an
-// answer; Exchange.Sends counts that.
+// RoundTrip sends a request once Acquire has returned. net/http would send a
+// request again by itself if a kept connection ends before an answer. That is
+// prevented once any of the request was written.
 func (p *Pool) RoundTrip(addr dcid.ServerAddr, request *http.Request) (*http.Response, *Exchange, error) {
 	target := p.server(addr)
-	exchange := &Exchange{server: target}
-	request = request.WithContext(exchange.trace(request.Context()))
+	ctx, cancel := context.WithCancelCause(request.Context())
+	exchange := &Exchange{server: target, cancel: cancel}
+	request = request.WithContext(exchange.trace(ctx))
 	request.Close = target.aboveLimit()
 	answer, err := p.roundTripper().RoundTrip(request)
 	return answer, exchange, err
 }
 
+// errSentBefore ends a request that net/http would send a second time.
+var errSentBefore = errors.New("the request was sent before")
+
 // Exchange records how far one request came.
 type Exchange struct {
 	server   *server
-	conn     atomic.Pointer[net.Conn]
-	sends    atomic.Int32
+	cancel   context.CancelCauseFunc
+	conn     atomic.Pointer[connection]
+	before   atomic.Int64
 	dialled  atomic.Bool
-	written  atomic.Bool
 	answered atomic.Bool
 }
 
@@ -108,37 +113,40 @@
 // Written reports whether any of the request may have been written. The
 // transport closes a cancelled connection before it returns, so a request that
 // is not marked as written by then is never written.
-func (e *Exchange) Written() bool { return e.written.Load() }
+func (e *Exchange) Written() bool {
+	conn := e.conn.Load()
+	return conn != nil && conn.writes.Load() > e.before.Load()
+}
 
 // Answered reports whether an answer began to arrive.
 func (e *Exchange) Answered() bool { return e.answered.Load() }
 
-// Sends returns the number of connections that the request was written to.
-func (e *Exchange) Sends() int { return int(e.sends.Load()) }
-
 // Discard closes the connection of the request, so that it is not used again.
 func (e *Exchange) Discard() {
 	if conn := e.conn.Load(); conn != nil {
-		_ = (*conn).Close()
+		_ = conn.Close()
 	}
 }
 
 func (e *Exchange) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			e.conn.Store(&info.Conn)
+			conn, ok := info.Conn.(*connection)
+			if !ok || e.Written() {
+				e.cancel(errSentBefore)
+				_ = info.Conn.Close()
+				return
+			}
+			e.before.Store(conn.writes.Load())
+			e.conn.Store(conn)
 			e.dialled.Store(!info.Reused)
-			e.server.mark(info.Conn, false)
+			e.server.mark(conn, false)
 		},
 		PutIdleConn: func(err error) {
 			if conn := e.conn.Load(); conn != nil && err == nil {
-				e.server.mark(*conn, true)
+				e.server.mark(conn, true)
 			}
 		},
-		WroteHeaders: func() {
-			e.sends.Add(1)
-			e.written.Store(true)
-		},
 		GotFirstResponseByte: func() { e.answered.Store(true) },
 	})
 }
--- a/internal/dcconnpool/server.go
+++ b/internal/dcconnpool/server.go
@@ -28,6 +28,18 @@
 	net.Conn
 	server *server
 	once   sync.Once
+	// writes counts the writes that may have sent anything.
+	writes atomic.Int64
+}
+
+// Write counts before it writes, because a write can be cut off at any point.
+func (c *connection) Write(content []byte) (int, error) {
+	c.writes.Add(1)
+	count, err := c.Conn.Write(content)
+	if count == 0 && err != nil {
+		c.writes.Add(-1)
+	}
+	return count, err
 }
 
 // Close closes the connection and returns its permit.
@@ -42,15 +54,11 @@
 	return err
 }
 
-func (s *server) mark(conn net.Conn, idle bool) {
-	tracked, ok := conn.(*connection)
-	if !ok {
-		return
-	}
+func (s *server) mark(conn *connection, idle bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, open := s.open[tracked]; open {
-		s.open[tracked] = idle
+	if _, open := s.open[conn]; open {
+		s.open[conn] = idle
 	}
 }
 
--- a/internal/dcengine/dcengine.go
+++ b/internal/dcengine/dcengine.go
@@ -21,7 +21,7 @@
 
 // Sender sends a request to a server, once.
 type Sender interface {
-	Send(ctx context.Context, server dcbalance.Server, request *dcforward.Request, idempotent bool, left time.Duration) dcforward.Answer
+	Send(ctx context.Context, server dcbalance.Server, request *dcforward.Request, left time.Duration) dcforward.Answer
 }
 
 // Connections bounds the connections of this host to a server.
@@ -112,6 +112,18 @@
 	}
 }
 
+// SetExtraLoad changes the bound on extra sends.
+func (e *Engine) SetExtraLoad(extra ExtraLoad) {
+	e.services.mu.Lock()
+	defer e.services.mu.Unlock()
+	e.ExtraLoad = extra
+	for _, service := range e.services.byName {
+		service.mu.Lock()
+		service.extra.Ratio, service.extra.Slack = extra.Ratio, extra.Slack
+		service.mu.Unlock()
+	}
+}
+
 // unknownHosts is the number of hosts assumed while none are known. It keeps
 // the connections of a host low until it knows its peers.
 const unknownHosts = 7
--- a/internal/dcengine/run.go
+++ b/internal/dcengine/run.go
@@ -100,7 +100,7 @@
 		r.sends.Go(func() {
 			engine, service := r.engine, r.services[send.Part]
 			started := engine.Clock.Now()
-			answer := engine.Sender.Send(ctx, send.Use.Server, r.request, r.route.Idempotent, r.plan.Deadline.Sub(started))
+			answer := engine.Sender.Send(ctx, send.Use.Server, r.request, r.plan.Deadline.Sub(started))
 			if answer.Outcome == dcbalance.Answered && len(r.route.Shards) > 0 && answer.Status/100 != 2 {
 				answer.Outcome, answer.Code = dcbalance.Failed, dcreason.UpstreamError
 			}
@@ -109,7 +109,7 @@
 			if answer.Outcome == dcbalance.Answered {
 				r.state.record(elapsed, now)
 			}
-			service.end(send.Use, answer.Outcome, r.state.usualLatency(now), answer.Resends, now)
+			service.end(send.Use, answer.Outcome, r.state.usualLatency(now), now)
 			engine.logEnd(r.request, send, &answer, service.name, elapsed)
 			r.results <- &result{send: send, answer: answer}
 		})
--- a/internal/dcengine/service.go
+++ b/internal/dcengine/service.go
@@ -95,13 +95,10 @@
 	s.group.Silent(use, now)
 }
 
-func (s *service) end(use *dcbalance.Use, outcome dcbalance.Outcome, usual time.Duration, resends int, now time.Time) {
+func (s *service) end(use *dcbalance.Use, outcome dcbalance.Outcome, usual time.Duration, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.group.End(use, outcome, usual, now)
-	for range resends {
-		s.extra.Extra(now)
-	}
 }
 
 func (s *service) usable() int {
--- a/internal/dcforward/dcforward.go
+++ b/internal/dcforward/dcforward.go
@@ -47,9 +47,7 @@
 	Body    []byte
 	// Proof is the server's statement that the answer belongs to the request.
 	Proof string
-	// Resends counts the times that the connection layer sent the request again.
-	Resends int
-	Err     error
+	Err   error
 }
 
 // Label is what the fields of an answer say.
@@ -80,7 +78,7 @@
 
 // Send sends the request once and waits for the whole answer until ctx ends.
 // left is the time that the server may work.
-func (c *Client) Send(ctx context.Context, server dcbalance.Server, request *Request, idempotent bool, left time.Duration) Answer {
+func (c *Client) Send(ctx context.Context, server dcbalance.Server, request *Request, left time.Duration) Answer {
 	release, err := c.Pool.Acquire(ctx, server.Addr)
 	if err != nil {
 		return Answer{Outcome: dcbalance.Refused, Code: dcreason.QueueFull, Err: err}
@@ -88,24 +86,15 @@
 	defer release()
 	header := request.Header.Clone()
 	c.Codec.Encode(header, request, server, left)
-	outgoing := newRequest(ctx, server, request, header, idempotent)
-	answer, exchange, err := c.Pool.RoundTrip(server.Addr, outgoing)
-	resends := max(exchange.Sends()-1, 0)
+	answer, exchange, err := c.Pool.RoundTrip(server.Addr, newRequest(ctx, server, request, header))
 	if err != nil {
-		failed := classify(ctx, exchange, err)
-		failed.Resends = resends
-		return failed
+		return classify(ctx, exchange, err)
 	}
 	defer answer.Body.Close()
-	read := c.read(ctx, answer, exchange, request)
-	read.Resends = resends
-	return read
+	return c.read(ctx, answer, exchange, request)
 }
 
-// newRequest keeps the transport from sending a request that is not idempotent
-// a second time: it does that only when the method or an idempotency key says
-// that it may, and there is no body or the body can be read again.
-func newRequest(ctx context.Context, server dcbalance.Server, request *Request, header http.Header, idempotent bool) *http.Request {
+func newRequest(ctx context.Context, server dcbalance.Server, request *Request, header http.Header) *http.Request {
 	outgoing := &http.Request{
 		Method:     request.Method,
 		URL:        targetURL(server.Addr, request.Target),
@@ -119,21 +108,13 @@
 		// Keeps net/http from adding its own.
 		header["User-Agent"] = nil
 	}
-	if len(request.Body) > 0 || !idempotent && replayable(request) {
+	if len(request.Body) > 0 {
 		outgoing.Body = io.NopCloser(bytes.NewReader(request.Body))
 		outgoing.ContentLength = int64(len(request.Body))
 	}
 	return outgoing.WithContext(ctx)
 }
 
-func replayable(request *Request) bool {
-	switch request.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		return true
-	}
-	return request.Header.Get("Idempotency-Key") != "" || request.Header.Get("X-Idempotency-Key") != ""
-}
-
 // targetURL makes the request line carry the target exactly as received.
 // net/http would encode the path again, and would write a target that begins
 // with two slashes in absolute form.
--- /dev/null
+++ b/internal/dcforward/dcforward_test.go
@@ -0,0 +1,241 @@
+package dcforward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcbalance"
+	"github.com/dandelioncart/dandelioncart/internal/dcconnpool"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+)
+
+// fakeCodec uses short names for the fields of the servers' protocol.
+type fakeCodec struct{}
+
+func (fakeCodec) Encode(header http.Header, request *Request, server dcbalance.Server, left time.Duration) {
+	header.Set("Id", string(request.ID))
+	header.Set("Server-Id", string(server.ID))
+	header.Set("Left", left.String())
+}
+
+func (fakeCodec) Decode(answer *http.Response, request *Request) Label {
+	return Label{
+		Foreign:     answer.Header.Get("Id") != string(request.ID),
+		NotRun:      answer.Header.Get("Not-Run") != "",
+		Misdirected: answer.StatusCode == http.StatusMisdirectedRequest,
+		Proof:       answer.Header.Get("Proof"),
+	}
+}
+
+// rawServer answers the requests of each connection with answers from a list,
+// byte by byte as given. "close" ends the connection, "reset" resets it.
+func rawServer(t *testing.T, answers ...string) (server dcbalance.Server, requests *atomic.Int32) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	requests = &atomic.Int32{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveRaw(conn, answers, requests)
+		}
+	}()
+	return dcbalance.Server{ID: "s1", Addr: dcid.ServerAddr(listener.Addr().String())}, requests
+}
+
+func serveRaw(conn net.Conn, answers []string, requests *atomic.Int32) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		index := int(requests.Add(1)) - 1
+		answer := answers[min(index, len(answers)-1)]
+		if answer == "reset" {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		text, closing := strings.CutSuffix(answer, "close")
+		_, _ = io.WriteString(conn, text)
+		if closing {
+			return
+		}
+	}
+}
+
+func newClient(t *testing.T) *Client {
+	t.Helper()
+	client := &Client{Pool: &dcconnpool.Pool{Clock: clockwork.NewRealClock(), DefaultLimit: 4}, Codec: fakeCodec{}}
+	t.Cleanup(client.Pool.Close)
+	return client
+}
+
+func newRequestFor(method, target string, body string) *Request {
+	return &Request{ID: "r1", Method: method, Target: target, Host: "a.example", Header: http.Header{}, Body: []byte(body)}
+}
+
+func send(t *testing.T, client *Client, server dcbalance.Server, request *Request) Answer {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	return client.Send(ctx, server, request, time.Second)
+}
+
+const good = "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nContent-Length: 2\r\n\r\nok"
+
+// TestOutcomes guards against an answer that is delivered although it is
+// incomplete, encoded or another request's, and against a request that counts
+// as not run although it may have run.
+func TestOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		want   dcbalance.Outcome
+	}{
+		"complete":             {good, dcbalance.Answered},
+		"chunked":              {"HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", dcbalance.Answered},
+		"ends with close":      {"HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\n\r\nokclose", dcbalance.Answered},
+		"truncated":            {"HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nContent-Length: 9\r\n\r\nokclose", dcbalance.Lost},
+		"truncated chunks":     {"HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nokclose", dcbalance.Lost},
+		"other request":        {"HTTP/1.1 200 OK\r\nId: r2\r\nProof: p\r\nContent-Length: 2\r\n\r\nok", dcbalance.Lost},
+		"encoded":              {"HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok", dcbalance.Lost},
+		"no proof":             {"HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 2\r\n\r\nok", dcbalance.Lost},
+		"not HTTP":             {"nonsense\r\n\r\nclose", dcbalance.Lost},
+		"closed":               {"close", dcbalance.Lost},
+		"reset":                {"reset", dcbalance.Lost},
+		"failure":              {"HTTP/1.1 500 Oops\r\nId: r1\r\nProof: p\r\nContent-Length: 0\r\n\r\n", dcbalance.Failed},
+		"refusal":              {"HTTP/1.1 503 Full\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", dcbalance.Refused},
+		"refusal, but may run": {"HTTP/1.1 503 Full\r\nId: r1\r\nContent-Length: 0\r\n\r\n", dcbalance.Failed},
+		"too many, may run":    {"HTTP/1.1 429 Slow\r\nId: r1\r\nProof: p\r\nContent-Length: 0\r\n\r\n", dcbalance.Lost},
+		"another server":       {"HTTP/1.1 421 Other\r\nId: r1\r\nContent-Length: 0\r\n\r\n", dcbalance.Misdirected},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, _ := rawServer(t, c.answer)
+			answer := send(t, newClient(t), server, newRequestFor(http.MethodGet, "/a", ""))
+			if answer.Outcome != c.want {
+				t.Errorf("outcome %d (%s, %v), want %d", answer.Outcome, answer.Code, answer.Err, c.want)
+			}
+			if c.want == dcbalance.Answered && string(answer.Body) != "ok" {
+				t.Errorf("body %q", answer.Body)
+			}
+		})
+	}
+}
+
+// TestSentOnce guards against net/http sending a request again by itself after
+// a kept connection broke off: the budget of extra sends does not count that,
+// and a request that is not idempotent would run twice.
+func TestSentOnce(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		for _, broken := range []string{"reset", "close"} {
+			server, requests := rawServer(t, good, broken, good)
+			client := newClient(t)
+			if first := send(t, client, server, newRequestFor(method, "/a", "")); first.Outcome != dcbalance.Answered {
+				t.Fatalf("first answer: %v", first.Err)
+			}
+			second := send(t, client, server, newRequestFor(method, "/a", ""))
+			if second.Outcome != dcbalance.Lost || requests.Load() != 2 {
+				t.Errorf("%s, %s: outcome %d after %d requests", method, broken, second.Outcome, requests.Load())
+			}
+			if third := send(t, client, server, newRequestFor(method, "/a", "")); third.Outcome != dcbalance.Answered {
+				t.Errorf("%s, %s: no answer afterwards: %v", method, broken, third.Err)
+			}
+		}
+	}
+}
+
+// TestExtraAnswer guards against an answer that arrives late, after another
+// one, and is taken for that of the next request.
+func TestExtraAnswer(t *testing.T) {
+	late := strings.Replace(good, "r1", "r0", 1)
+	server, _ := rawServer(t, good+late, good)
+	client := newClient(t)
+	for i := range 4 {
+		answer := send(t, client, server, newRequestFor(http.MethodGet, "/a", ""))
+		if answer.Outcome == dcbalance.Answered && answer.Header.Get("Id") != "r1" {
+			t.Errorf("request %d got the answer of another", i)
+		}
+	}
+}
+
+// TestUnreachable guards against a request that counts as run although no
+// connection was opened.
+func TestUnreachable(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := listener.Addr().String()
+	listener.Close()
+	answer := send(t, newClient(t), dcbalance.Server{Addr: dcid.ServerAddr(addr)}, newRequestFor(http.MethodPost, "/a", "x"))
+	if answer.Outcome != dcbalance.Unreachable {
+		t.Errorf("outcome %d, %v", answer.Outcome, answer.Err)
+	}
+}
+
+// TestPassedOnUnchanged guards against a changed method, target, host, header
+// or body.
+func TestPassedOnUnchanged(t *testing.T) {
+	got := make(chan string, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				line, _ := reader.ReadString('\n')
+				request, err := http.ReadRequest(bufio.NewReader(io.MultiReader(strings.NewReader(line), reader)))
+				if err != nil {
+					got <- err.Error()
+					return
+				}
+				body, _ := io.ReadAll(request.Body)
+				_, agent := request.Header["User-Agent"]
+				got <- strings.TrimSpace(line) + "|" + request.Host + "|" + request.Header.Get("X-Own") + "|" + string(body)
+				if agent {
+					got <- "a user agent was added"
+				}
+				// The connection ends here, which the client must know before it
+				// sends the next request.
+				_, _ = io.WriteString(conn, strings.Replace(good, "Id:", "Connection: close\r\nId:", 1))
+			}()
+		}
+	}()
+	client := newClient(t)
+	server := dcbalance.Server{ID: "s1", Addr: dcid.ServerAddr(listener.Addr().String())}
+	for _, target := range []string{"/a/%2Fb/../c;d?x=%20&&y", "/a//b", "//a/b?q", "/?"} {
+		request := newRequestFor("PUT", target, "body")
+		request.Header.Set("X-Own", "v")
+		if answer := send(t, client, server, request); answer.Outcome != dcbalance.Answered {
+			t.Fatalf("%s: %v", target, answer.Err)
+		}
+		if want := "PUT " + target + " HTTP/1.1|a.example|v|body"; want != <-got {
+			t.Errorf("%s was changed", target)
+		}
+	}
+}
--- a/internal/dcmirror/dcmirror.go
+++ b/internal/dcmirror/dcmirror.go
@@ -18,7 +18,7 @@
 const (
 	// gatherTime is the pause after an answer. Each call is priced, so changes
 	// that follow each other are read with one.
-	gatherTime = 150 * time.Millisecond
+	gatherTime = 300 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
--- a/internal/dcroster/dcroster.go
+++ b/internal/dcroster/dcroster.go
@@ -92,7 +92,7 @@
 	}
 	r.mu.Lock()
 	if host.GetHostId() == r.Self.GetHostId() {
-		r.revision = max(r.revision, record.Modified)
+		r.revision, r.missing = max(r.revision, record.Modified), false
 		r.mu.Unlock()
 		return
 	}
@@ -227,6 +227,14 @@
 	if errors.Is(err, dcstore.ErrLeaseExpired) {
 		r.lease = 0
 	}
+	var conflict *dcstore.ConflictError
+	if errors.As(err, &conflict) {
+		// An earlier write took effect without an answer, or the record of the
+		// host's last start is still there. The news of it may come late.
+		r.mu.Lock()
+		r.revision, r.missing = conflict.Current, false
+		r.mu.Unlock()
+	}
 	if err != nil {
 		r.Log.Info("host record not written", zap.Int64("expected-revision", int64(expected)), zap.Error(err))
 		return err
--- a/internal/dcstore/store.go
+++ b/internal/dcstore/store.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -24,6 +25,20 @@
 	ErrLeaseExpired = errors.New("lease expired")
 )
 
+// ConflictError is an ErrConflict that says what the key has become.
+type ConflictError struct {
+	// Current is the modification revision of the key, 0 when absent.
+	Current Revision
+}
+
+// Error describes the conflict.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%v, it has revision %d", ErrConflict, e.Current)
+}
+
+// Is reports that the error is an ErrConflict.
+func (e *ConflictError) Is(target error) bool { return target == ErrConflict }
+
 // MaxValueBytes is the largest value that the service holds.
 const MaxValueBytes = 1 << 20
 
