--- a/internal/dcengine/handle.go
+++ b/internal/dcengine/handle.go
@@ -69,7 +69,11 @@
 		return refusal(dcreason.TooManyRequests), route
 	}
 	defer e.inFlight.Add(-1)
-	return e.newRun(request, route).run(ctx), route
+	run := e.newRun(request, route)
+	if run.reachable() < run.plan.MinParts {
+		return refusal(dcreason.NoServer), route
+	}
+	return run.run(ctx), route
 }
 
 func refusal(code dcreason.Code) Reply {
--- a/internal/dcengine/run.go
+++ b/internal/dcengine/run.go
@@ -141,7 +141,7 @@
 		answer := r.answers[0]
 		return Reply{Status: answer.Status, Code: dcreason.OK, Answer: answer}
 	case !r.plan.MayHaveRun():
-		return refusal(r.refusalCode())
+		return refusal(dcreason.UpstreamShed)
 	case r.failure != nil && len(r.route.Shards) == 0 && r.failure.Proof != "" && r.failure.Status != http.StatusServiceUnavailable:
 		return Reply{Status: r.failure.Status, Code: dcreason.UpstreamError, Answer: r.failure}
 	case !now.Before(r.plan.Deadline):
@@ -152,13 +152,14 @@
 	return Reply{Status: http.StatusBadGateway, Code: dcreason.OutcomeUnknown}
 }
 
-func (r *run) refusalCode() dcreason.Code {
+// reachable returns the number of parts that have a server.
+func (r *run) reachable() (count int) {
 	for _, service := range r.services {
-		if service.usable() == 0 {
-			return dcreason.NoServer
+		if service.usable() > 0 {
+			count++
 		}
 	}
-	return dcreason.UpstreamShed
+	return count
 }
 
 func (r *run) merged() Reply {
--- /dev/null
+++ b/internal/dclog/dclog_test.go
@@ -0,0 +1,68 @@
+package dclog
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// gate is a reader of the log that stops reading until it is opened.
+type gate struct {
+	mu   sync.Mutex
+	open chan struct{}
+	text bytes.Buffer
+}
+
+func (g *gate) Write(line []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.text.Write(line)
+}
+
+// TestNeverBlocks guards against requests that wait for a reader of the log,
+// and against lines of good requests that push out those of failed ones.
+func TestNeverBlocks(t *testing.T) {
+	slow := &gate{open: make(chan struct{})}
+	output := NewOutput(slow)
+	log := output.NewLogger()
+	const failures = queueLines / 4
+	began := time.Now()
+	for i := range 4 * queueLines {
+		log.Info("usual line", zap.Int("number", i))
+	}
+	for i := range failures {
+		log.Warn("request failed", zap.Int("number", i))
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("writing took %v", took)
+	}
+	close(slow.open)
+	output.Close()
+	text := slow.text.String()
+	if got := strings.Count(text, "request failed"); got != failures {
+		t.Errorf("%d of %d lines of failed requests are left", got, failures)
+	}
+	if !strings.Contains(text, "log lines left out") {
+		t.Error("the number of dropped lines is missing")
+	}
+}
+
+// TestClose guards against lines that are lost at the end, and against a
+// writer that fails after it.
+func TestClose(t *testing.T) {
+	var text bytes.Buffer
+	output := NewOutput(&text)
+	log := output.NewLogger()
+	log.Info("last line")
+	output.Close()
+	log.Info("after the end")
+	output.Close()
+	if !strings.Contains(text.String(), "last line") || strings.Contains(text.String(), "after the end") {
+		t.Errorf("written: %q", text.String())
+	}
+}
