Take records from other hosts while the store does not answer

A host that started in an outage of the store served nothing, and one that the store turned away kept its old configuration. Hosts now ask each other for their copy of the records, over connect-go on the control address. The sends of requests that fail, are late or lack shards are logged with the reply.

--- a/internal/dccommand/dcplatformcommand/dcplatformcommand.go
+++ b/internal/dccommand/dcplatformcommand/dcplatformcommand.go
@@ -95,7 +95,7 @@
 	if err := binary.Read(rand.Reader, binary.LittleEndian, &host.Seed); err != nil {
 		return err
 	}
-	defer zap.RedirectStdLog(log)()
+	defer dclog.RedirectStandard(log)()
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
--- a/internal/dcengine/handle.go
+++ b/internal/dcengine/handle.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"github.com/dandelioncart/dandelioncart/internal/dcattempt"
-	"github.com/dandelioncart/dandelioncart/internal/dcbalance"
 	"github.com/dandelioncart/dandelioncart/internal/dcforward"
 	"github.com/dandelioncart/dandelioncart/internal/dcid"
 	"github.com/dandelioncart/dandelioncart/internal/dcreason"
@@ -48,14 +47,14 @@
 
 // Handle answers a request. ctx ends when the caller has left.
 func (e *Engine) Handle(ctx context.Context, request *dcforward.Request) Reply {
-	reply, route := e.handle(ctx, request)
+	reply, run := e.handle(ctx, request)
 	elapsed := e.Clock.Since(request.Arrived)
 	e.Meter.request(reply.Code, elapsed)
-	e.logReply(request, route, reply, elapsed)
+	e.logReply(request, run, reply, elapsed)
 	return reply
 }
 
-func (e *Engine) handle(ctx context.Context, request *dcforward.Request) (Reply, *dcroute.Route) {
+func (e *Engine) handle(ctx context.Context, request *dcforward.Request) (Reply, *run) {
 	table := e.table.Load()
 	if table == nil {
 		return Reply{Status: http.StatusServiceUnavailable, Code: dcreason.ConfigurationMissing, RetryAfter: startWait}, nil
@@ -66,14 +65,15 @@
 	}
 	if e.inFlight.Add(1) > maxInFlight {
 		e.inFlight.Add(-1)
-		return refusal(dcreason.TooManyRequests), route
+		return refusal(dcreason.TooManyRequests), nil
 	}
 	defer e.inFlight.Add(-1)
 	run := e.newRun(request, route)
+	run.version = table.Version
 	if run.reachable() < run.plan.MinParts {
-		return refusal(dcreason.NoServer), route
+		return refusal(dcreason.NoServer), run
 	}
-	return run.run(ctx), route
+	return run.run(ctx), run
 }
 
 func refusal(code dcreason.Code) Reply {
@@ -120,8 +120,11 @@
 	return min(max(margin, answerMarginMin), answerMarginMax)
 }
 
-func (e *Engine) logReply(request *dcforward.Request, route *dcroute.Route, reply Reply, elapsed time.Duration) {
-	if reply.Code == dcreason.OK && reply.Missing == 0 {
+// logReply reports a request that failed, was answered without all shards or
+// was answered late. run is nil when nothing was sent.
+func (e *Engine) logReply(request *dcforward.Request, run *run, reply Reply, elapsed time.Duration) {
+	late := run != nil && elapsed > run.route.Target
+	if reply.Code == dcreason.OK && reply.Missing == 0 && !late {
 		return
 	}
 	fields := []zap.Field{
@@ -130,31 +133,18 @@
 		zap.String("reason", string(reply.Code)),
 		zap.Duration("elapsed", elapsed),
 		zap.Duration("allowed", request.Deadline.Sub(request.Arrived)),
-		zap.Int("missing-shards", reply.Missing),
 	}
-	if route != nil {
-		fields = append(fields, zap.String("route", string(route.Name)))
+	if run != nil {
+		fields = append(fields, zap.String("route", string(run.route.Name)), zap.Duration("target", run.route.Target),
+			zap.Duration("hedge-delay", run.plan.HedgeDelay), zap.Int64("configuration", int64(run.version)),
+			zap.Int("missing-shards", reply.Missing), zap.Array("sends", &run.journal))
 	}
-	if reply.Code == dcreason.OK {
+	switch {
+	case reply.Code != dcreason.OK:
+		e.Log.Warn("request failed", fields...)
+	case reply.Missing > 0:
 		e.Log.Info("answered without all shards", fields...)
-		return
+	default:
+		e.Log.Info("answered late", fields...)
 	}
-	e.Log.Warn("request failed", fields...)
-}
-
-// logEnd reports a send that did not bring an answer.
-func (e *Engine) logEnd(request *dcforward.Request, send dcattempt.Send, answer *dcforward.Answer, service dcid.ServiceName, elapsed time.Duration) {
-	if answer.Outcome == dcbalance.Answered || answer.Outcome == dcbalance.Abandoned {
-		return
-	}
-	e.Log.Info("send failed",
-		zap.String("request", string(request.ID)),
-		zap.String("service", string(service)),
-		zap.String("server", string(send.Use.Server.ID)),
-		zap.String("address", string(send.Use.Server.Addr)),
-		zap.String("reason", string(answer.Code)),
-		zap.Int("status", answer.Status),
-		zap.Bool("extra", send.Extra),
-		zap.Duration("elapsed", elapsed),
-		zap.Error(answer.Err))
 }
--- /dev/null
+++ b/internal/dcengine/journal.go
@@ -0,0 +1,95 @@
+package dcengine
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcattempt"
+	"github.com/dandelioncart/dandelioncart/internal/dcbalance"
+	"github.com/dandelioncart/dandelioncart/internal/dcforward"
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+)
+
+// journal holds the sends of a request until its outcome is known. Only those
+// of requests that fail, answer without all shards or answer late are logged,
+// so that the volume stays bounded by what needs an explanation.
+type journal struct {
+	mu      sync.Mutex
+	entries []*entry
+}
+
+// entry is one send.
+type entry struct {
+	service dcid.ServiceName
+	server  dcid.ServerID
+	address dcid.ServerAddr
+	// at is the time since the arrival of the request.
+	at      time.Duration
+	extra   bool
+	done    bool
+	outcome dcbalance.Outcome
+	code    dcreason.Code
+	status  int
+	elapsed time.Duration
+	err     error
+}
+
+func (j *journal) started(send dcattempt.Send, service dcid.ServiceName, at time.Duration) *entry {
+	started := &entry{service: service, server: send.Use.Server.ID, address: send.Use.Server.Addr, at: at, extra: send.Extra}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.entries = append(j.entries, started)
+	return started
+}
+
+func (j *journal) ended(e *entry, answer *dcforward.Answer, elapsed time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	e.done, e.outcome, e.code, e.status, e.elapsed, e.err = true, answer.Outcome, answer.Code, answer.Status, elapsed, answer.Err
+}
+
+// MarshalLogArray implements zapcore.ArrayMarshaler. Answered sends are left
+// out of requests with many parts: what explains those is what is missing.
+func (j *journal) MarshalLogArray(encoder zapcore.ArrayEncoder) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, entry := range j.entries {
+		if entry.done && entry.outcome == dcbalance.Answered && len(j.entries) > maxFullJournal {
+			continue
+		}
+		if err := encoder.AppendObject(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// maxFullJournal is the number of sends up to which answered ones are logged.
+const maxFullJournal = 4
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (e *entry) MarshalLogObject(encoder zapcore.ObjectEncoder) error {
+	encoder.AddString("service", string(e.service))
+	encoder.AddString("server", string(e.server))
+	encoder.AddString("address", string(e.address))
+	encoder.AddDuration("at", e.at)
+	if e.extra {
+		encoder.AddBool("extra", true)
+	}
+	if !e.done {
+		encoder.AddString("reason", "no-answer-yet")
+		return nil
+	}
+	encoder.AddString("reason", string(e.code))
+	encoder.AddDuration("elapsed", e.elapsed)
+	if e.status != 0 {
+		encoder.AddInt("status", e.status)
+	}
+	if e.err != nil {
+		encoder.AddString("error", e.err.Error())
+	}
+	return nil
+}
--- a/internal/dcengine/run.go
+++ b/internal/dcengine/run.go
@@ -22,6 +22,7 @@
 	engine   *Engine
 	request  *dcforward.Request
 	route    *dcroute.Route
+	version  dcroute.Version
 	state    *routeState
 	services []*service
 	hosts    int
@@ -31,6 +32,7 @@
 	// failure is the last answer of a server that ran the request and failed.
 	failure *dcforward.Answer
 	results chan *result
+	journal journal
 	// sends counts the sends that are running.
 	sends sync.WaitGroup
 }
@@ -97,6 +99,7 @@
 func (r *run) start(ctx context.Context, sends []dcattempt.Send) {
 	for _, send := range sends {
 		r.engine.Meter.sends.Inc(1)
+		entry := r.journal.started(send, r.services[send.Part].name, r.engine.Clock.Since(r.request.Arrived))
 		r.sends.Go(func() {
 			engine, service := r.engine, r.services[send.Part]
 			started := engine.Clock.Now()
@@ -110,7 +113,7 @@
 				r.state.record(elapsed, now)
 			}
 			service.end(send.Use, answer.Outcome, r.state.usualLatency(now), now)
-			engine.logEnd(r.request, send, &answer, service.name, elapsed)
+			r.journal.ended(entry, &answer, elapsed)
 			r.results <- &result{send: send, answer: answer}
 		})
 	}
--- a/internal/dclog/dclog.go
+++ b/internal/dclog/dclog.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"io"
+	"log"
+	"strings"
 	"sync"
 	"time"
 
@@ -123,3 +125,36 @@
 
 // Sync implements zapcore.WriteSyncer. Lines are written in the background.
 func (s *sink) Sync() error { return nil }
+
+// RedirectStandard passes what the standard library logs on to a logger, with
+// one message for all so that they are sampled together. The returned function
+// undoes it.
+func RedirectStandard(logger *zap.Logger) (restore func()) {
+	flags, out := log.Flags(), log.Writer()
+	log.SetFlags(0)
+	log.SetOutput(&standard{logger})
+	return func() {
+		log.SetFlags(flags)
+		log.SetOutput(out)
+	}
+}
+
+// NewStandard returns a standard logger that writes to a zap logger.
+func NewStandard(logger *zap.Logger) *log.Logger {
+	return log.New(&standard{logger}, "", 0)
+}
+
+type standard struct {
+	logger *zap.Logger
+}
+
+// maxDetail bounds what is kept of a line of the standard library, which can
+// hold bytes of a peer.
+const maxDetail = 200
+
+// Write implements io.Writer.
+func (s *standard) Write(line []byte) (int, error) {
+	detail := strings.TrimSpace(string(line[:min(len(line), maxDetail)]))
+	s.logger.Info("message of the standard library", zap.String("detail", detail))
+	return len(line), nil
+}
--- a/internal/dcmirror/copied.go
+++ b/internal/dcmirror/copied.go
@@ -19,7 +19,7 @@
 // copied decides which records are there, doubtful or gone.
 type copied struct {
 	observer Observer
-	records  map[string]dcstore.Revision
+	records  map[string]dcstore.Record
 	// doubted holds the time at which a removed record counts as gone.
 	doubted map[string]time.Time
 	// regained is the time at which the service last came back.
@@ -29,7 +29,7 @@
 func newCopied(observer Observer) *copied {
 	return &copied{
 		observer: observer,
-		records:  make(map[string]dcstore.Revision),
+		records:  make(map[string]dcstore.Record),
 		doubted:  make(map[string]time.Time),
 	}
 }
@@ -51,7 +51,7 @@
 func (c *copied) change(changes []dcstore.Change, now time.Time) {
 	for _, change := range changes {
 		if change.Removed {
-			if c.records[change.Key] < change.Modified {
+			if c.records[change.Key].Modified < change.Modified {
 				c.remove(change.Key, now)
 			}
 			continue
@@ -63,11 +63,11 @@
 func (c *copied) put(record dcstore.Record) {
 	known, ok := c.records[record.Key]
 	_, doubted := c.doubted[record.Key]
-	if ok && record.Modified <= known && !doubted {
+	if ok && record.Modified <= known.Modified && !doubted {
 		return
 	}
 	delete(c.doubted, record.Key)
-	c.records[record.Key] = record.Modified
+	c.records[record.Key] = record
 	c.observer.Put(record)
 }
 
--- /dev/null
+++ b/internal/dcrelay/dcrelay.go
@@ -0,0 +1,105 @@
+// Package dcrelay passes copies of the store's records between hosts. A host
+// asks the others only while it cannot reach the store itself.
+package dcrelay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	hostv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/host/v1"
+	"github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/host/v1/hostv1connect"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcstore"
+)
+
+const (
+	// callTimeout bounds a call to another host, which answers from memory. A
+	// host that is cut off answers nothing.
+	callTimeout = 400 * time.Millisecond
+	// maxMessageBytes bounds a copy: some hundred servers and a configuration.
+	maxMessageBytes = 16 << 20
+)
+
+// ErrNoHost reports that no other host is known.
+var ErrNoHost = errors.New("no other host is known")
+
+// Source is what a host tells others.
+type Source struct {
+	// Copy returns the records if they are newer than a revision, and the
+	// revision of the copy.
+	Copy func(known dcstore.Revision) ([]dcstore.Record, dcstore.Revision)
+	// Host returns the record of this host.
+	Host func() *hostv1.Record
+}
+
+var _ hostv1connect.HostServiceHandler = (*Source)(nil)
+
+// Handler returns the path and the handler of the service.
+func (s *Source) Handler() (string, http.Handler) {
+	return hostv1connect.NewHostServiceHandler(s, connect.WithReadMaxBytes(maxMessageBytes))
+}
+
+// FetchRecords implements hostv1connect.HostServiceHandler.
+func (s *Source) FetchRecords(_ context.Context, request *connect.Request[hostv1.FetchRecordsRequest]) (*connect.Response[hostv1.FetchRecordsResponse], error) {
+	records, revision := s.Copy(dcstore.Revision(request.Msg.GetKnownRevision()))
+	response := &hostv1.FetchRecordsResponse{Host: s.Host(), Revision: int64(revision)}
+	for _, record := range records {
+		response.Records = append(response.Records, &hostv1.StoredRecord{Key: record.Key, Value: record.Value, Modified: int64(record.Modified)})
+	}
+	return connect.NewResponse(response), nil
+}
+
+// Client asks other hosts.
+type Client struct {
+	HTTP *http.Client
+	// Addresses returns where other hosts are reached.
+	Addresses func() []string
+	// Seen takes the record of each host that answers.
+	Seen   func(host *hostv1.Record)
+	Random *rand.Rand
+}
+
+// Fetch asks one of the other hosts for records that are newer than a
+// revision. It returns none when that host knows nothing newer.
+func (c *Client) Fetch(ctx context.Context, known dcstore.Revision) (records []dcstore.Record, revision dcstore.Revision, err error) {
+	defer func() { err = eris.Wrap(err, "ask another host") }()
+	addresses := c.Addresses()
+	if len(addresses) == 0 {
+		return nil, 0, ErrNoHost
+	}
+	address := addresses[c.Random.IntN(len(addresses))]
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	stub := hostv1connect.NewHostServiceClient(c.HTTP, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+	response, err := stub.FetchRecords(ctx, connect.NewRequest(&hostv1.FetchRecordsRequest{KnownRevision: int64(known)}))
+	if err != nil {
+		return nil, 0, err
+	}
+	if host := response.Msg.GetHost(); host != nil {
+		c.Seen(host)
+	}
+	for _, record := range response.Msg.GetRecords() {
+		records = append(records, dcstore.Record{Key: record.GetKey(), Value: record.GetValue(), Modified: dcstore.Revision(record.GetModified())})
+	}
+	return records, dcstore.Revision(response.Msg.GetRevision()), nil
+}
+
+// Others returns the addresses without duplicates and without self.
+func Others(self string, lists ...[]string) []string {
+	var others []string
+	for _, list := range lists {
+		for _, address := range list {
+			if address != "" && address != self && !slices.Contains(others, address) {
+				others = append(others, address)
+			}
+		}
+	}
+	return others
+}
--- a/internal/dcroster/dcroster.go
+++ b/internal/dcroster/dcroster.go
@@ -46,7 +46,7 @@
 	Changed func()
 
 	mu     sync.Mutex
-	others map[dcid.HostID]*hostv1.Record
+	others map[dcid.HostID]*known
 	// known is set once the list was read.
 	known    bool
 	leaving  bool
@@ -59,6 +59,15 @@
 	written hostv1.State
 }
 
+// known is another host.
+type known struct {
+	record *hostv1.Record
+	// listed is set while the service holds the record.
+	listed bool
+	// seen is the time at which the host itself last told its record.
+	seen time.Time
+}
+
 // Run keeps the record of this host until ctx ends, and then removes it.
 func (r *Roster) Run(ctx context.Context) error {
 	backoff := time.Duration(0)
@@ -90,21 +99,68 @@
 		r.Log.Warn("host record ignored, it cannot be read", zap.String("key", record.Key), zap.Error(err))
 		return
 	}
-	r.mu.Lock()
 	if host.GetHostId() == r.Self.GetHostId() {
+		r.mu.Lock()
 		r.revision, r.missing = max(r.revision, record.Modified), false
 		r.mu.Unlock()
 		return
 	}
+	r.update(host, true)
+}
+
+// Seen takes the record of another host from that host itself.
+func (r *Roster) Seen(host *hostv1.Record) { r.update(host, false) }
+
+func (r *Roster) update(host *hostv1.Record, listed bool) {
+	id := dcid.HostID(host.GetHostId())
+	if id == "" || host.GetHostId() == r.Self.GetHostId() {
+		return
+	}
+	r.mu.Lock()
 	if r.others == nil {
-		r.others = make(map[dcid.HostID]*hostv1.Record)
+		r.others = make(map[dcid.HostID]*known)
+	}
+	other := r.others[id]
+	if other == nil {
+		other = &known{}
+		r.others[id] = other
+	}
+	same := proto.Equal(other.record, host)
+	other.record = host
+	other.listed = other.listed || listed
+	if !listed {
+		other.seen = r.Clock.Now()
 	}
-	r.others[dcid.HostID(host.GetHostId())] = host
 	r.mu.Unlock()
+	if same {
+		return
+	}
 	r.Log.Info("host in the list", zap.String("peer", host.GetHostId()), zap.String("state", host.GetState().String()))
 	r.changed()
 }
 
+// Current returns the record of this host with its present state.
+func (r *Roster) Current() *hostv1.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record := proto.CloneOf(r.Self)
+	record.State = hostv1.State_STATE_SERVING
+	if r.leaving {
+		record.State = hostv1.State_STATE_LEAVING
+	}
+	return record
+}
+
+// ControlAddresses returns where the other hosts reach each other.
+func (r *Roster) ControlAddresses() (addresses []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, other := range r.others {
+		addresses = append(addresses, other.record.GetControlAddress())
+	}
+	return addresses
+}
+
 // Doubt takes a key whose record was removed, but may be back soon. This host
 // writes its own record again.
 func (r *Roster) Doubt(key string) {
@@ -145,19 +201,25 @@
 	if !r.known {
 		return 0
 	}
-	return len(r.others) + 1
+	return len(r.present()) + 1
+}
+
+// present returns the other hosts that are listed or have answered lately. The
+// caller holds the lock.
+func (r *Roster) present() (hosts []*hostv1.Record) {
+	for _, other := range r.others {
+		if other.listed || r.Clock.Since(other.seen) < leaseLifetime {
+			hosts = append(hosts, other.record)
+		}
+	}
+	return hosts
 }
 
 // Addresses returns where callers are served, in the order of host ids.
 func (r *Roster) Addresses() (addresses []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	hosts := make([]*hostv1.Record, 0, len(r.others)+1)
-	for _, host := range r.others {
-		if host.GetState() == hostv1.State_STATE_SERVING {
-			hosts = append(hosts, host)
-		}
-	}
+	hosts := slices.DeleteFunc(r.present(), func(host *hostv1.Record) bool { return host.GetState() != hostv1.State_STATE_SERVING })
 	if !r.leaving {
 		hosts = append(hosts, r.Self)
 	}
@@ -203,11 +265,9 @@
 
 // write writes the record when its state has changed or the service lost it.
 func (r *Roster) write(ctx context.Context) error {
+	record := r.Current()
+	state := record.GetState()
 	r.mu.Lock()
-	state := hostv1.State_STATE_SERVING
-	if r.leaving {
-		state = hostv1.State_STATE_LEAVING
-	}
 	expected, missing := r.revision, r.missing
 	r.mu.Unlock()
 	if state == r.written && !missing {
@@ -216,8 +276,6 @@
 	if missing {
 		expected = 0
 	}
-	record := proto.CloneOf(r.Self)
-	record.State = state
 	value, err := proto.Marshal(record)
 	if err != nil {
 		return err
