--- a/internal/dcmirror/dcmirror.go
+++ b/internal/dcmirror/dcmirror.go
@@ -18,9 +18,18 @@
 )
 
 const (
-	// gatherTime is the pause after an answer. Each call is priced, so changes
-	// that follow each other are read with one.
-	gatherTime = 300 * time.Millisecond
+	// gatherTime is the pause after an answer with changes. Each call is priced,
+	// so changes that follow each other are read with one. The pause doubles up
+	// to maxGather while changes keep coming.
+	gatherTime = 200 * time.Millisecond
+	maxGather  = 800 * time.Millisecond
+	// probeInterval is the time between probes. A watch waits for long, and its
+	// connection can fall silent. Two probes pass within the platform's
+	// stability window of four seconds, after which the bounds on configurations
+	// and leaving servers hold again.
+	probeInterval = 1300 * time.Millisecond
+	// quietTime without changes resets the pause.
+	quietTime = 2 * time.Second
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
@@ -29,9 +38,6 @@
 	peerInterval = 300 * time.Millisecond
 	// startWait is how long a starting host waits for the service alone.
 	startWait = 250 * time.Millisecond
-	// silenceWait is the time without an answer, a watch without changes and
-	// its slack, after which the service counts as away.
-	silenceWait = 3 * time.Second
 )
 
 // Observer takes the changes of the copy, one call at a time.
@@ -64,14 +70,22 @@
 	Log      *zap.Logger
 
 	backoff time.Duration
+	gather  time.Duration
 
 	mu       sync.Mutex
 	state    *copied
 	revision dcstore.Revision
-	// heard is the time of the last answer of the service.
-	heard  time.Time
-	away   bool
-	synced bool
+	// reached is set once the service has answered.
+	reached bool
+	away    bool
+	synced  bool
+	// behind is the revision that the last probe was ahead by a watch, 0 when
+	// it was not.
+	behind dcstore.Revision
+	// endWatch ends the call that waits for changes.
+	endWatch context.CancelFunc
+	// suspect is set when that call has waited through a failed probe.
+	suspect bool
 }
 
 // Copy returns the records if they are newer than a revision, and the revision
@@ -98,6 +112,7 @@
 	updates := make(chan update)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { m.follow(ctx, updates); return nil })
+	group.Go(func() error { m.probe(ctx, updates); return nil })
 	group.Go(func() error { m.askPeers(ctx, updates); return nil })
 	group.Go(func() error { m.keep(ctx, updates); return nil })
 	return group.Wait()
@@ -133,6 +148,7 @@
 type update struct {
 	snapshot bool
 	peer     bool
+	probe    bool
 	records  []dcstore.Record
 	changes  []dcstore.Change
 	revision dcstore.Revision
@@ -145,12 +161,21 @@
 	complete := false
 	for ctx.Err() == nil {
 		update := update{snapshot: !complete}
+		called := m.Clock.Now()
 		if complete {
-			update.changes, update.revision, update.err = m.History.Changes(ctx, m.Prefix, revision)
+			waiting, end := context.WithCancel(ctx)
+			m.watching(end)
+			update.changes, update.revision, update.err = m.History.Changes(waiting, m.Prefix, revision)
+			m.watching(nil)
+			silent := waiting.Err() != nil && update.err != nil
+			end()
+			if silent {
+				continue
+			}
 		} else {
 			update.records, update.revision, update.err = m.History.Snapshot(ctx, m.Prefix)
 		}
-		pause := gatherTime
+		pause := m.nextGather(len(update.changes) > 0, m.Clock.Since(called))
 		switch {
 		case errors.Is(update.err, dcstore.ErrHistoryGone):
 			complete = false
@@ -169,6 +194,91 @@
 	}
 }
 
+// nextGather returns the pause after an answer that took some time.
+func (m *Mirror) nextGather(changed bool, took time.Duration) time.Duration {
+	switch {
+	case !changed && took >= quietTime:
+		return 0
+	case !changed:
+		return gatherTime
+	case took >= quietTime || m.gather == 0:
+		m.gather = gatherTime
+	default:
+		m.gather = min(2*m.gather, maxGather)
+	}
+	return m.gather
+}
+
+// watching remembers how to end the call that waits for changes.
+func (m *Mirror) watching(end context.CancelFunc) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.endWatch, m.suspect = end, false
+}
+
+// probe asks at intervals whether the service answers and how far it is.
+func (m *Mirror) probe(ctx context.Context, updates chan<- update) {
+	for {
+		m.wait(ctx, probeInterval)
+		if ctx.Err() != nil {
+			return
+		}
+		if !m.watches() {
+			continue
+		}
+		revision, err := m.History.Probe(ctx)
+		select {
+		case updates <- update{probe: true, revision: revision, err: err}:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// watches reports whether a call waits for changes. Other calls show by
+// themselves that the service does not answer.
+func (m *Mirror) watches() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.endWatch != nil
+}
+
+// applyProbe ends a watch that has fallen silent: one that waited through a
+// failed probe, or that has not told of a revision for two probes.
+func (m *Mirror) applyProbe(update update, now time.Time) {
+	if update.err != nil {
+		m.suspect = m.endWatch != nil
+		m.lost(update.err)
+		return
+	}
+	m.regained(update.revision, now)
+	silent := m.suspect || m.behind != 0 && m.revision < m.behind
+	m.behind = 0
+	if update.revision > m.revision {
+		m.behind = update.revision
+	}
+	if m.endWatch != nil && silent {
+		m.Log.Warn("watch of the store ended, it is silent", zap.Int64("revision", int64(m.revision)), zap.Int64("reached", int64(update.revision)))
+		m.endWatch()
+		m.endWatch = nil
+	}
+}
+
+func (m *Mirror) regained(revision dcstore.Revision, now time.Time) {
+	if m.away {
+		m.away = false
+		m.state.regained = now
+		m.Log.Info("store regained", zap.Int64("revision", int64(revision)))
+	}
+}
+
+func (m *Mirror) lost(err error) {
+	if !m.away {
+		m.away = true
+		m.Log.Warn("store lost", zap.Error(err))
+	}
+}
+
 func (m *Mirror) nextBackoff() time.Duration {
 	m.backoff = min(max(2*m.backoff, firstBackoff), maxBackoff)
 	return m.backoff
@@ -194,23 +304,19 @@
 	case update.peer:
 		m.applyPeer(update, now)
 		return
+	case update.probe:
+		m.applyProbe(update, now)
+		return
 	case errors.Is(update.err, dcstore.ErrHistoryGone):
 		m.Log.Warn("store history is gone, reading everything again", zap.Int64("revision", int64(update.revision)))
 		return
 	case update.err != nil:
-		if !m.away {
-			m.away = true
-			m.Log.Warn("store lost", zap.Error(update.err))
-		}
+		m.lost(update.err)
 		return
 	}
-	m.heard = now
+	m.reached = true
 	m.revision = max(m.revision, update.revision)
-	if m.away {
-		m.away = false
-		m.state.regained = now
-		m.Log.Info("store regained", zap.Int64("revision", int64(update.revision)))
-	}
+	m.regained(update.revision, now)
 	if update.snapshot {
 		m.state.replace(update.records, now)
 	} else {
@@ -270,9 +376,8 @@
 func (m *Mirror) needPeers(started time.Time) (known dcstore.Revision, ask bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.Clock.Now()
-	if m.heard.IsZero() {
-		return m.revision, now.Sub(started) >= startWait
+	if !m.reached {
+		return m.revision, m.Clock.Since(started) >= startWait
 	}
-	return m.revision, m.away || now.Sub(m.heard) >= silenceWait
+	return m.revision, m.away
 }
--- a/internal/dcmirror/dcmirror_test.go
+++ b/internal/dcmirror/dcmirror_test.go
@@ -119,6 +119,8 @@
 	return answer.records, answer.revision, answer.err
 }
 
+func (s *scripted) Probe(context.Context) (dcstore.Revision, error) { return 0, nil }
+
 func (s *scripted) Changes(ctx context.Context, _ string, _ dcstore.Revision) ([]dcstore.Change, dcstore.Revision, error) {
 	answer := s.next(ctx, "changes")
 	return answer.changes, answer.revision, answer.err
@@ -156,3 +158,66 @@
 		t.Errorf("got  %s\nwant %s", got, want)
 	}
 }
+
+// stuck has a watch that answers nothing for good.
+type stuck struct {
+	mu       sync.Mutex
+	watches  int
+	revision dcstore.Revision
+	probe    error
+}
+
+func (s *stuck) Snapshot(context.Context, string) ([]dcstore.Record, dcstore.Revision, error) {
+	return []dcstore.Record{at("a", 1)}, 1, nil
+}
+
+func (s *stuck) Probe(context.Context) (dcstore.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision, s.probe
+}
+
+func (s *stuck) Changes(ctx context.Context, _ string, after dcstore.Revision) ([]dcstore.Change, dcstore.Revision, error) {
+	s.mu.Lock()
+	s.watches++
+	first := s.watches == 1
+	s.mu.Unlock()
+	if first || after >= 2 {
+		<-ctx.Done()
+		return nil, after, ctx.Err()
+	}
+	return []dcstore.Change{{Record: at("a", 2)}}, 2, nil
+}
+
+// TestSilentWatch guards against changes that are missed for as long as a watch
+// may wait, because its connection or the service has fallen silent.
+func TestSilentWatch(t *testing.T) {
+	for name, change := range map[string]func(*stuck){
+		"connection": func(s *stuck) { s.revision = 2 },
+		"service":    func(s *stuck) { s.probe = errors.New("no answer") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			history := &stuck{revision: 1}
+			var seen recorder
+			mirror := &Mirror{History: history, Observer: &seen, Clock: clockwork.NewRealClock(), Log: zap.NewNop()}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- mirror.Run(ctx) }()
+			time.Sleep(500 * time.Millisecond)
+			history.mu.Lock()
+			change(history)
+			history.mu.Unlock()
+			time.Sleep(probeInterval + 200*time.Millisecond)
+			history.mu.Lock()
+			history.probe = nil
+			history.mu.Unlock()
+			time.Sleep(probeInterval + 700*time.Millisecond)
+			cancel()
+			<-done
+			if got := seen.take(); got != "put a=v, synced, put a=v" {
+				t.Errorf("got %s", got)
+			}
+		})
+	}
+}
--- a/internal/dcstore/store.go
+++ b/internal/dcstore/store.go
@@ -107,6 +107,9 @@
 	// revision to continue from. It returns ErrHistoryGone when they are no
 	// longer kept, and no change when none happened for a while.
 	Changes(ctx context.Context, prefix string, after Revision) ([]Change, Revision, error)
+	// Probe returns a revision that the service has reached, which may be
+	// seconds old. It costs a tenth of another call.
+	Probe(ctx context.Context) (Revision, error)
 }
 
 // Registry is the part of the key-value service that keeps the record of a
