Answer queries earlier before the target, and use more of the extra sends

The window of extra sends kept back two fifths of its slack for restarts. A starting process now counts only the ratio for one span instead.

--- a/internal/dcbudget/window.go
+++ b/internal/dcbudget/window.go
@@ -5,12 +5,12 @@
 const (
 	// windowSteps is the number of steps that a window is divided into.
 	windowSteps = 20
-	// windowMargin is the part of the allowance that one host uses. The rest
-	// covers the error of a step and hosts that count each other late.
-	windowMargin = 0.85
-	// restartShare is the part of the slack that one host uses, because a host
-	// that restarts forgets what it has spent in the window.
-	restartShare = 0.6
+	// windowMargin is the part of the ratio that is used. The rest covers the
+	// error of a step.
+	windowMargin = 0.93
+	// slackShare is the part of the slack that is used. The rest covers a host
+	// that is not in the list of the others but still sends.
+	slackShare = 0.75
 )
 
 // Window limits the extra sends to a service over a sliding span of time, in
@@ -20,6 +20,9 @@
 	Span  time.Duration
 	Ratio float64
 	Slack float64
+	// Started is the start of the process. Until a span later only the ratio
+	// counts, because the process may have spent its slack before a restart.
+	Started time.Time
 
 	steps   [windowSteps + 1]windowStep
 	current int64
@@ -62,8 +65,8 @@
 		requests += step.requests
 	}
 	allowed := w.Ratio * requests * windowMargin
-	if hosts > 0 {
-		allowed += w.Slack * restartShare / float64(hosts)
+	if hosts > 0 && now.Sub(w.Started) >= w.Span {
+		allowed += w.Slack * slackShare / float64(hosts)
 	}
 	return allowed - used
 }
--- a/internal/dcbudget/window_test.go
+++ b/internal/dcbudget/window_test.go
@@ -17,7 +17,7 @@
 	random := rand.New(rand.NewPCG(seed, 0))
 	windows := make([]Window, hosts)
 	for i := range windows {
-		windows[i] = Window{Span: span, Ratio: ratio, Slack: slack}
+		windows[i] = Window{Span: span, Ratio: ratio, Slack: slack, Started: start.Add(-span)}
 	}
 	var requests, extras []time.Time
 	now := start
@@ -59,7 +59,7 @@
 // TestWindowWithoutHosts guards against use of the shared slack while the
 // number of hosts is unknown.
 func TestWindowWithoutHosts(t *testing.T) {
-	w := Window{Span: 10 * time.Second, Ratio: 0.2, Slack: 52}
+	w := Window{Span: 10 * time.Second, Ratio: 0.2, Slack: 52, Started: start.Add(-10 * time.Second)}
 	if w.Take(0, start) {
 		t.Error("an extra send was granted without requests and hosts")
 	}
@@ -67,3 +67,15 @@
 		t.Error("the share of the slack was not granted")
 	}
 }
+
+// TestWindowAfterRestart guards against a slack that is spent twice within a
+// span by a host that restarts.
+func TestWindowAfterRestart(t *testing.T) {
+	w := Window{Span: 10 * time.Second, Ratio: 0.2, Slack: 52, Started: start}
+	if w.Take(4, start.Add(9*time.Second)) {
+		t.Error("the slack was granted within a span of the start")
+	}
+	if !w.Take(4, start.Add(10*time.Second)) {
+		t.Error("the slack was not granted after a span")
+	}
+}
--- a/internal/dcengine/dcengine.go
+++ b/internal/dcengine/dcengine.go
@@ -57,6 +57,8 @@
 	Domain    dcid.FailureDomain
 	ExtraLoad ExtraLoad
 	Seed      uint64
+	// Started is the start of the process.
+	Started time.Time
 
 	table    atomic.Pointer[dcroute.Table]
 	inFlight atomic.Int64
@@ -144,7 +146,7 @@
 		e.services.byName = make(map[dcid.ServiceName]*service)
 	}
 	e.Seed++
-	found = newService(name, e.Domain, e.ExtraLoad, rand.New(rand.NewPCG(e.Seed, uint64(len(name)))))
+	found = newService(name, e.Domain, e.ExtraLoad, e.Started, rand.New(rand.NewPCG(e.Seed, uint64(len(name)))))
 	e.services.byName[name] = found
 	return found
 }
--- a/internal/dcengine/handle.go
+++ b/internal/dcengine/handle.go
@@ -22,11 +22,12 @@
 	refusalWait = 250 * time.Millisecond
 	// startWait is told to callers while no configuration is known.
 	startWait = 500 * time.Millisecond
-	// answerMarginShare of the latency target is kept for the way between
-	// caller and host, within answerMarginMin and answerMarginMax.
-	answerMarginShare = 0.18
-	answerMarginMin   = 6 * time.Millisecond
-	answerMarginMax   = 12 * time.Millisecond
+	// answerMargin is the part of the latency target that is kept for the way
+	// between caller and host: two crossings of some milliseconds, two more for
+	// a new connection, and timers that fire late. It is at most
+	// answerMarginShare of the target.
+	answerMargin      = 12 * time.Millisecond
+	answerMarginShare = 0.3
 )
 
 // Reply is the final answer to a caller.
@@ -108,16 +109,17 @@
 	}
 	if len(route.Shards) > 0 {
 		rule.MinParts = route.MinParts()
-		rule.AnswerBy = request.Arrived.Add(route.Target - answerMargin(route.Target))
+		rule.AnswerBy = request.Arrived.Add(answerTime(route.Target))
 	}
 	r.plan = dcattempt.New(rule, len(r.services), r)
 	r.answers = make([]*dcforward.Answer, len(r.services))
 	return r
 }
 
-func answerMargin(target time.Duration) time.Duration {
-	margin := time.Duration(float64(target) * answerMarginShare)
-	return min(max(margin, answerMarginMin), answerMarginMax)
+// answerTime returns how long after its arrival a query is answered without
+// the shards that are missing.
+func answerTime(target time.Duration) time.Duration {
+	return target - min(answerMargin, time.Duration(float64(target)*answerMarginShare))
 }
 
 // logReply reports a request that failed, was answered without all shards or
--- a/internal/dcengine/service.go
+++ b/internal/dcengine/service.go
@@ -21,11 +21,11 @@
 	servers []dcbalance.Server
 }
 
-func newService(name dcid.ServiceName, domain dcid.FailureDomain, extra ExtraLoad, random *rand.Rand) *service {
+func newService(name dcid.ServiceName, domain dcid.FailureDomain, extra ExtraLoad, started time.Time, random *rand.Rand) *service {
 	return &service{
 		name:  name,
 		group: dcbalance.Group{Domain: domain, Random: random},
-		extra: dcbudget.Window{Span: extra.Span, Ratio: extra.Ratio, Slack: extra.Slack},
+		extra: dcbudget.Window{Span: extra.Span, Ratio: extra.Ratio, Slack: extra.Slack, Started: started},
 	}
 }
 
