Read the store again after another host knew more, and tidy the engine

A host that had taken records from another one then applied older changes of the store again, and would have used a server that had left once more. Names of metrics say what they count; a changed server no longer recomputes the connection shares of all services.

--- a/internal/dcbudget/window.go
+++ b/internal/dcbudget/window.go
@@ -40,23 +40,13 @@
 	w.step(now).requests++
 }
 
-// Extra counts an extra send that happened without a grant.
+// Extra counts an extra send.
 func (w *Window) Extra(now time.Time) {
 	w.step(now).extra++
 }
 
-// Take grants one extra send if the window has room. hosts is the number of
+// Level returns the number of extra sends that are left. hosts is the number of
 // hosts that share the slack, 0 when unknown: then only the ratio counts.
-func (w *Window) Take(hosts int, now time.Time) bool {
-	step := w.step(now)
-	if w.Level(hosts, now) < 1 {
-		return false
-	}
-	step.extra++
-	return true
-}
-
-// Level returns the number of extra sends that are left.
 func (w *Window) Level(hosts int, now time.Time) float64 {
 	w.step(now)
 	var used, requests float64
--- a/internal/dcbudget/window_test.go
+++ b/internal/dcbudget/window_test.go
@@ -6,6 +6,15 @@
 	"time"
 )
 
+// take spends one extra send if the window has room.
+func take(w *Window, hosts int, now time.Time) bool {
+	if w.Level(hosts, now) < 1 {
+		return false
+	}
+	w.Extra(now)
+	return true
+}
+
 // TestWindowBound guards against extra sends above the bound in any sliding
 // span, in sum over hosts, whatever the pattern of requests.
 func TestWindowBound(t *testing.T) {
@@ -29,7 +38,7 @@
 			w.Request(now)
 			requests = append(requests, now)
 		}
-		if w.Take(hosts, now) {
+		if take(w, hosts, now) {
 			extras = append(extras, now)
 		}
 	}
@@ -59,11 +68,11 @@
 // TestWindowWithoutHosts guards against use of the shared slack while the
 // number of hosts is unknown.
 func TestWindowWithoutHosts(t *testing.T) {
-	w := Window{Span: 10 * time.Second, Ratio: 0.2, Slack: 52, Started: start.Add(-10 * time.Second)}
-	if w.Take(0, start) {
+	w := &Window{Span: 10 * time.Second, Ratio: 0.2, Slack: 52, Started: start.Add(-10 * time.Second)}
+	if take(w, 0, start) {
 		t.Error("an extra send was granted without requests and hosts")
 	}
-	if !w.Take(4, start) {
+	if !take(w, 4, start) {
 		t.Error("the share of the slack was not granted")
 	}
 }
@@ -71,11 +80,11 @@
 // TestWindowAfterRestart guards against a slack that is spent twice within a
 // span by a host that restarts.
 func TestWindowAfterRestart(t *testing.T) {
-	w := Window{Span: 10 * time.Second, Ratio: 0.2, Slack: 52, Started: start}
-	if w.Take(4, start.Add(9*time.Second)) {
+	w := &Window{Span: 10 * time.Second, Ratio: 0.2, Slack: 52, Started: start}
+	if take(w, 4, start.Add(9*time.Second)) {
 		t.Error("the slack was granted within a span of the start")
 	}
-	if !w.Take(4, start.Add(10*time.Second)) {
+	if !take(w, 4, start.Add(10*time.Second)) {
 		t.Error("the slack was not granted after a span")
 	}
 }
--- a/internal/dcengine/dcengine.go
+++ b/internal/dcengine/dcengine.go
@@ -104,14 +104,23 @@
 	if table == nil {
 		return
 	}
+	for i := range table.Services {
+		configured := &table.Services[i]
+		e.limitConnections(e.service(configured.Name), configured)
+	}
+}
+
+// limitConnections sets this host's share of the connections to the servers of
+// a service. One share is left over for a host that the others do not list.
+func (e *Engine) limitConnections(service *service, configured *dcroute.Service) {
+	if configured == nil {
+		return
+	}
 	hosts := e.Hosts.Count()
 	if hosts == 0 {
 		hosts = unknownHosts
 	}
-	for i := range table.Services {
-		configured := &table.Services[i]
-		e.service(configured.Name).limit(max(configured.MaxConnections/(hosts+1), 1), e.Connections)
-	}
+	service.limit(max(configured.MaxConnections/(hosts+1), 1), e.Connections)
 }
 
 // SetExtraLoad changes the bound on extra sends.
--- a/internal/dcengine/meter.go
+++ b/internal/dcengine/meter.go
@@ -13,9 +13,11 @@
 	scope   tally.Scope
 	version tally.Gauge
 	sends   tally.Counter
-	hedges  tally.Counter
-	retries tally.Counter
-	short   tally.Counter
+	// silent counts sends without an answer after the hedge delay, extra those
+	// beyond the first to a part.
+	silent tally.Counter
+	extra  tally.Counter
+	short  tally.Counter
 }
 
 // NewMeter returns the metrics below a scope.
@@ -24,8 +26,8 @@
 		scope:   scope,
 		version: scope.Gauge("configuration_version"),
 		sends:   scope.Counter("sends"),
-		hedges:  scope.Counter("hedges"),
-		retries: scope.Counter("retries"),
+		silent:  scope.Counter("silent_sends"),
+		extra:   scope.Counter("extra_sends"),
 		short:   scope.Counter("answers_without_all_shards"),
 	}
 }
--- a/internal/dcengine/run.go
+++ b/internal/dcengine/run.go
@@ -123,14 +123,14 @@
 func (r *run) Pick(part int, exclude []dcid.ServerID, extra bool, now time.Time) (*dcbalance.Use, bool) {
 	use, ok := r.services[part].pick(exclude, extra, r.hosts, now)
 	if ok && extra {
-		r.engine.Meter.retries.Inc(1)
+		r.engine.Meter.extra.Inc(1)
 	}
 	return use, ok
 }
 
 // Silent implements dcattempt.Servers.
 func (r *run) Silent(part int, use *dcbalance.Use, now time.Time) {
-	r.engine.Meter.hedges.Inc(1)
+	r.engine.Meter.silent.Inc(1)
 	r.services[part].silent(use, now)
 }
 
--- a/internal/dcengine/service.go
+++ b/internal/dcengine/service.go
@@ -33,7 +33,9 @@
 func (e *Engine) SetServer(name dcid.ServiceName, server dcbalance.Server) {
 	service := e.service(name)
 	service.set(server)
-	e.LimitConnections()
+	if table := e.table.Load(); table != nil {
+		e.limitConnections(service, table.Service(name))
+	}
 }
 
 // RemoveServer removes a server from a service.
--- a/internal/dcmirror/dcmirror.go
+++ b/internal/dcmirror/dcmirror.go
@@ -160,6 +160,11 @@
 	var revision dcstore.Revision
 	complete := false
 	for ctx.Err() == nil {
+		if m.ahead(revision) {
+			// Another host knew more. Changes that it included already must not
+			// be applied again, so everything is read.
+			complete = false
+		}
 		update := update{snapshot: !complete}
 		called := m.Clock.Now()
 		if complete {
@@ -194,6 +199,13 @@
 	}
 }
 
+// ahead reports whether the copy holds more than the calls of follow told.
+func (m *Mirror) ahead(revision dcstore.Revision) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision > revision
+}
+
 // nextGather returns the pause after an answer that took some time.
 func (m *Mirror) nextGather(changed bool, took time.Duration) time.Duration {
 	switch {
--- a/internal/dcmirror/dcmirror_test.go
+++ b/internal/dcmirror/dcmirror_test.go
@@ -221,3 +221,39 @@
 		})
 	}
 }
+
+// peer knows a record that the service has removed meanwhile.
+type peer struct{}
+
+func (peer) Fetch(_ context.Context, known dcstore.Revision) ([]dcstore.Record, dcstore.Revision, error) {
+	if known >= 9 {
+		return nil, 9, nil
+	}
+	return []dcstore.Record{at("b", 9)}, 9, nil
+}
+
+// TestChangesAfterPeer guards against changes that are applied again after the
+// copy of another host already held them: a server that has left would be used
+// once more.
+func TestChangesAfterPeer(t *testing.T) {
+	history := &scripted{answers: []update{
+		{records: []dcstore.Record{at("a", 1)}, revision: 1},
+		{err: errors.New("refused")}, {err: errors.New("refused")}, {err: errors.New("refused")},
+		{records: []dcstore.Record{at("b", 9)}, revision: 9},
+	}}
+	var seen recorder
+	mirror := &Mirror{History: history, Peers: peer{}, Observer: &seen, Clock: clockwork.NewRealClock(), Log: zap.NewNop()}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	if err := mirror.Run(ctx); err != nil {
+		t.Error(err)
+	}
+	if got := seen.take(); got != "put a=v, synced, put b=v, doubt a, remove a" {
+		t.Error(got)
+	}
+	history.mu.Lock()
+	defer history.mu.Unlock()
+	if last := history.calls[4]; last != "snapshot" {
+		t.Errorf("calls %v: the changes after revision 1 were asked for", history.calls)
+	}
+}
