--- a/internal/dccommand/dcplatformcommand/dcplatformcommand.go
+++ b/internal/dccommand/dcplatformcommand/dcplatformcommand.go
@@ -118,7 +118,7 @@
 		}
 		settings, err := platform.LoadSettings(o.Settings)
 		if err != nil {
-			host.Log.Error("settings not reloaded", zap.Error(err))
+			host.Log.Error("settings not reloaded", zap.String("error", err.Error()))
 			continue
 		}
 		host.Reload(settings)
--- a/internal/dcmirror/dcmirror.go
+++ b/internal/dcmirror/dcmirror.go
@@ -287,7 +287,7 @@
 func (m *Mirror) lost(err error) {
 	if !m.away {
 		m.away = true
-		m.Log.Warn("store lost", zap.Error(err))
+		m.Log.Warn("store lost", zap.String("error", err.Error()))
 	}
 }
 
@@ -374,7 +374,7 @@
 		}
 		records, revision, err := m.Peers.Fetch(ctx, known)
 		if err != nil {
-			m.Log.Info("no records from another host", zap.Error(err))
+			m.Log.Info("no records from another host", zap.String("error", err.Error()))
 			continue
 		}
 		select {
--- a/internal/dcroster/dcroster.go
+++ b/internal/dcroster/dcroster.go
@@ -95,8 +95,12 @@
 // Put takes the record of a host as the service holds it.
 func (r *Roster) Put(record dcstore.Record) {
 	host := &hostv1.Record{}
-	if err := proto.Unmarshal(record.Value, host); err != nil || host.GetHostId() == "" {
-		r.Log.Warn("host record ignored, it cannot be read", zap.String("key", record.Key), zap.Error(err))
+	if err := proto.Unmarshal(record.Value, host); err != nil {
+		r.Log.Warn("host record ignored, it cannot be read", zap.String("key", record.Key), zap.String("error", err.Error()))
+		return
+	}
+	if host.GetHostId() == "" {
+		r.Log.Warn("host record ignored, it names no host", zap.String("key", record.Key))
 		return
 	}
 	if host.GetHostId() == r.Self.GetHostId() {
@@ -294,7 +298,7 @@
 		r.mu.Unlock()
 	}
 	if err != nil {
-		r.Log.Info("host record not written", zap.Int64("expected-revision", int64(expected)), zap.Error(err))
+		r.Log.Info("host record not written", zap.Int64("expected-revision", int64(expected)), zap.String("error", err.Error()))
 		return err
 	}
 	r.mu.Lock()
--- /dev/null
+++ b/internal/dcroster/dcroster_test.go
@@ -0,0 +1,96 @@
+package dcroster
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	hostv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/host/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcstore"
+)
+
+func newRoster(clock clockwork.Clock, registry dcstore.Registry) *Roster {
+	return &Roster{Registry: registry, Prefix: "hosts/", Self: host("h1", hostv1.State_STATE_UNSPECIFIED), Clock: clock, Log: zap.NewNop()}
+}
+
+func host(id string, state hostv1.State) *hostv1.Record {
+	return &hostv1.Record{HostId: id, CallerAddress: id + ":1", ControlAddress: id + ":2", State: state}
+}
+
+func stored(t *testing.T, record *hostv1.Record) dcstore.Record {
+	t.Helper()
+	value, err := proto.Marshal(record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return dcstore.Record{Key: "hosts/" + record.GetHostId(), Value: value, Modified: 3}
+}
+
+// TestAddresses guards against address answers that name hosts which leave or
+// are gone, and against a count that forgets a host which shares the servers.
+func TestAddresses(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	roster := newRoster(clock, nil)
+	if got := roster.Count(); got != 0 {
+		t.Errorf("%d hosts are counted before the list is known", got)
+	}
+	roster.Synced()
+	roster.Put(stored(t, host("h2", hostv1.State_STATE_SERVING)))
+	roster.Put(stored(t, host("h3", hostv1.State_STATE_LEAVING)))
+	roster.Put(dcstore.Record{Key: "hosts/h9", Value: []byte("not a record")})
+	roster.Seen(host("h4", hostv1.State_STATE_SERVING))
+	if got, want := roster.Addresses(), []string{"h1:1", "h2:1", "h4:1"}; !slices.Equal(got, want) {
+		t.Errorf("addresses %v, want %v", got, want)
+	}
+	if got := roster.Count(); got != 4 {
+		t.Errorf("%d hosts are counted, want 4", got)
+	}
+	clock.Advance(leaseLifetime)
+	roster.Remove("hosts/h2")
+	roster.Leave()
+	if got := roster.Addresses(); len(got) != 0 {
+		t.Errorf("addresses %v of hosts that are gone, silent or leaving", got)
+	}
+}
+
+// TestRecord guards against a host that is not listed: at its start, after its
+// record was taken away, and as leaving.
+func TestRecord(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	store := dcstore.NewFake(clock)
+	roster := newRoster(clock, store)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- roster.Run(ctx) }()
+	expect := func(what string, want hostv1.State) (record dcstore.Record) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+			found := &hostv1.Record{}
+			record, err := store.Get(t.Context(), "hosts/h1")
+			if err == nil && proto.Unmarshal(record.Value, found) == nil && found.GetState() == want {
+				return record
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%s: state %v, %v", what, found.GetState(), err)
+			}
+		}
+	}
+	record := expect("start", hostv1.State_STATE_SERVING)
+	if err := store.Delete(t.Context(), record.Key, record.Modified); err != nil {
+		t.Fatal(err)
+	}
+	roster.Doubt(record.Key)
+	roster.Put(expect("taken away", hostv1.State_STATE_SERVING))
+	roster.Leave()
+	expect("leaving", hostv1.State_STATE_LEAVING)
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
