--- a/internal/dcmirror/dcmirror.go
+++ b/internal/dcmirror/dcmirror.go
@@ -5,6 +5,7 @@
 package dcmirror
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -20,9 +21,10 @@
 const (
 	// gatherTime is the pause after an answer with changes. Each call is priced,
 	// so changes that follow each other are read with one. The pause doubles up
-	// to maxGather while changes keep coming.
+	// to Mirror.MaxGather while changes keep coming.
 	gatherTime = 200 * time.Millisecond
-	maxGather  = 800 * time.Millisecond
+	// defaultMaxGather holds when Mirror.MaxGather is not set.
+	defaultMaxGather = 800 * time.Millisecond
 	// probeInterval is the time between probes. A watch waits for long, and its
 	// connection can fall silent. Two probes pass within the platform's
 	// stability window of four seconds, after which the bounds on configurations
@@ -66,8 +68,11 @@
 	Peers    Peers
 	Prefix   string
 	Observer Observer
-	Clock    clockwork.Clock
-	Log      *zap.Logger
+	// MaxGather bounds the pause between calls while changes keep coming; 800 ms
+	// when 0.
+	MaxGather time.Duration
+	Clock     clockwork.Clock
+	Log       *zap.Logger
 
 	backoff time.Duration
 	gather  time.Duration
@@ -186,7 +191,7 @@
 			complete = false
 			pause = 0
 		case update.err != nil:
-			pause = m.nextBackoff()
+			pause = 0
 		default:
 			complete, revision, m.backoff = true, update.revision, 0
 		}
@@ -195,10 +200,29 @@
 		case <-ctx.Done():
 			return
 		}
+		if update.err != nil && !errors.Is(update.err, dcstore.ErrHistoryGone) {
+			m.awaitService(ctx, updates)
+		}
 		m.wait(ctx, pause)
 	}
 }
 
+// awaitService waits until a probe succeeds, since calls that are refused cost
+// as much as others.
+func (m *Mirror) awaitService(ctx context.Context, updates chan<- update) {
+	for ctx.Err() == nil {
+		m.wait(ctx, m.nextBackoff())
+		revision, err := m.History.Probe(ctx)
+		select {
+		case updates <- update{probe: true, revision: revision, err: err}:
+		case <-ctx.Done():
+		}
+		if err == nil {
+			return
+		}
+	}
+}
+
 // ahead reports whether the copy holds more than the calls of follow told.
 func (m *Mirror) ahead(revision dcstore.Revision) bool {
 	m.mu.Lock()
@@ -216,7 +240,7 @@
 	case took >= quietTime || m.gather == 0:
 		m.gather = gatherTime
 	default:
-		m.gather = min(2*m.gather, maxGather)
+		m.gather = min(2*m.gather, cmp.Or(m.MaxGather, defaultMaxGather))
 	}
 	return m.gather
 }
