--- a/internal/dcattempt/dcattempt.go
+++ b/internal/dcattempt/dcattempt.go
@@ -182,9 +182,6 @@
 // Succeeded reports whether enough parts have an answer.
 func (p *Plan) Succeeded() bool { return p.good >= p.MinParts }
 
-// Good returns the number of parts with an answer.
-func (p *Plan) Good() int { return p.good }
-
 // MayHaveRun reports whether any server may run or have run the request.
 func (p *Plan) MayHaveRun() bool {
 	if p.ran {
--- a/internal/dcattempt/dcattempt_test.go
+++ b/internal/dcattempt/dcattempt_test.go
@@ -116,8 +116,8 @@
 	plan.Ended(hedges[0], dcbalance.Answered, now)
 	plan.Ended(first[0], dcbalance.Answered, now)
 	plan.Ended(first[1], dcbalance.Answered, now)
-	if !plan.Done(now) || plan.Good() != 2 {
-		t.Errorf("done %t with %d parts", plan.Done(now), plan.Good())
+	if !plan.Done(now) || plan.good != 2 {
+		t.Errorf("done %t with %d parts", plan.Done(now), plan.good)
 	}
 }
 
--- a/internal/dcroster/dcroster.go
+++ b/internal/dcroster/dcroster.go
@@ -38,6 +38,8 @@
 	Registry dcstore.Registry
 	// Prefix precedes the host's id in the key of its record.
 	Prefix string
+	// MinLifetime is the shortest lifetime of a lease that the service grants.
+	MinLifetime time.Duration
 	// Self is the record of this host.
 	Self  *hostv1.Record
 	Clock clockwork.Clock
@@ -46,7 +48,7 @@
 	Changed func()
 
 	mu     sync.Mutex
-	others map[dcid.HostID]*known
+	others map[dcid.HostID]*peer
 	// known is set once the list was read.
 	known    bool
 	leaving  bool
@@ -59,8 +61,8 @@
 	written hostv1.State
 }
 
-// known is another host.
-type known struct {
+// peer is another host.
+type peer struct {
 	record *hostv1.Record
 	// listed is set while the service holds the record.
 	listed bool
@@ -68,7 +70,7 @@
 	seen time.Time
 }
 
-// Run keeps the record of this host until ctx ends, and then removes it.
+// Run keeps the record of this host until ctx ends. Its lease then runs out.
 func (r *Roster) Run(ctx context.Context) error {
 	backoff := time.Duration(0)
 	for ctx.Err() == nil {
@@ -122,11 +124,11 @@
 	}
 	r.mu.Lock()
 	if r.others == nil {
-		r.others = make(map[dcid.HostID]*known)
+		r.others = make(map[dcid.HostID]*peer)
 	}
 	other := r.others[id]
 	if other == nil {
-		other = &known{}
+		other = &peer{}
 		r.others[id] = other
 	}
 	same := proto.Equal(other.record, host)
@@ -258,7 +260,7 @@
 		}
 	}
 	if r.lease == 0 {
-		lease, err := r.Registry.GrantLease(ctx, leaseLifetime)
+		lease, err := r.Registry.GrantLease(ctx, max(leaseLifetime, r.MinLifetime))
 		if err != nil {
 			return err
 		}
--- a/internal/dcstore/store.go
+++ b/internal/dcstore/store.go
@@ -118,5 +118,4 @@
 	CompareAndSwap(ctx context.Context, swap Swap) (Revision, error)
 	GrantLease(ctx context.Context, lifetime time.Duration) (LeaseID, error)
 	KeepAlive(ctx context.Context, lease LeaseID) error
-	Revoke(ctx context.Context, lease LeaseID) error
 }
