--- a/internal/dccommand/dcplatformcommand/dcplatformcommand.go
+++ b/internal/dccommand/dcplatformcommand/dcplatformcommand.go
@@ -58,6 +58,10 @@
 // Run serves until ctx ends.
 func (o *Options) Run(ctx context.Context, out io.Writer) (err error) {
 	defer func() { err = eris.Wrap(err, "serve") }()
+	// Until it is asked for, SIGHUP ends a process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	settings, err := platform.LoadSettings(o.Settings)
 	if err != nil {
 		return err
@@ -98,9 +102,6 @@
 		return err
 	}
 	defer dclog.RedirectStandard(log)()
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	ended := make(chan struct{})
 	defer close(ended)
 	go o.reloadOn(hangups, host, ended)
