Check the platform's settings and configuration by line

Settings faults named the field at best and came without a line, a process that could not run with its settings ended like after any other error, and unknown fields left no trace. A configuration reported only its first faulty route.

dcdocument reads YAML fields by path and collects faults with file, line and field; it now also holds what dcsettings had of the same.

--- a/cmd/dandelioncart/main_test.go
+++ b/cmd/dandelioncart/main_test.go
@@ -185,6 +185,23 @@
 	}
 }
 
+// TestCheckPlatformFiles guards against files of the users' platform that are
+// read as another kind, or whose faults are not counted.
+func TestCheckPlatformFiles(t *testing.T) {
+	for flag, document := range map[string]string{
+		"--platform-settings":      "node_name: h1\n",
+		"--platform-configuration": `{"routes": [{"name": "a", "route_kind": "safe"}]}`,
+	} {
+		status, output := execute(t, &fakeHosts{}, document, "config", "check", flag, "-")
+		if status != int(dccommand.ExitInvalid) || !strings.Contains(output, ":1: ") || !strings.Contains(output, "errors found") {
+			t.Errorf("%s: status %d\n%s", flag, status, output)
+		}
+	}
+	if status, output := execute(t, &fakeHosts{}, "", "config", "check", "--host", "--platform-settings", "-"); status == 0 {
+		t.Errorf("two kinds at once: status %d\n%s", status, output)
+	}
+}
+
 // TestPage guards against a page that loads something from the network and
 // against labels that break out of their element.
 func TestPage(t *testing.T) {
--- a/internal/dccommand/dcconfigcheckcommand/configcheck.go
+++ b/internal/dccommand/dcconfigcheckcommand/configcheck.go
@@ -8,13 +8,16 @@
 	"github.com/dandelioncart/dandelioncart/internal/dccommand"
 	"github.com/dandelioncart/dandelioncart/internal/dcsettings"
 	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
+	"github.com/dandelioncart/dandelioncart/platform"
 )
 
 // Options of config check.
 type Options struct {
 	dccommand.Output
-	Host  bool     `help:"The files are host settings, not service configurations."`
-	Files []string `arg:"" help:"Files to check; - for standard input." name:"file"`
+	Host                  bool     `help:"The files are host settings, not service configurations." xor:"kind"`
+	PlatformSettings      bool     `help:"The files are settings that the users' platform gives to its hosts." xor:"kind"`
+	PlatformConfiguration bool     `help:"The files are configurations of the users' platform, as its store holds them." xor:"kind"`
+	Files                 []string `arg:"" help:"Files to check; - for standard input." name:"file"`
 }
 
 // Help returns examples.
@@ -25,6 +28,7 @@
 
   dandelioncart config check configuration.yaml
   dandelioncart config check --host host-1.yaml host-2.yaml
+  dandelioncart config check --platform-settings /etc/dandelioncart/local.yaml
 
 ` + dccommand.ExitHelp()
 }
@@ -39,7 +43,7 @@
 			return err
 		}
 		count += len(faults)
-		answer.Errors = append(answer.Errors, faults.Proto()...)
+		answer.Errors = append(answer.Errors, dcsettings.Proto(faults)...)
 		if !o.JSON && len(faults) > 0 {
 			_, _ = fmt.Fprintln(tool.Out, faults)
 		}
@@ -60,9 +64,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if o.Host {
+	switch {
+	case o.Host:
 		_, err = dcsettings.ParseHost(file, document)
-	} else {
+	case o.PlatformSettings:
+		_, err = platform.ParseSettings(file, document)
+	case o.PlatformConfiguration:
+		err = platform.CheckConfiguration(file, document)
+	default:
 		_, err = dcsettings.ParseConfiguration(file, document)
 	}
 	var faults dcsettings.Errors
--- a/internal/dccommand/dcplatformcommand/dcplatformcommand.go
+++ b/internal/dccommand/dcplatformcommand/dcplatformcommand.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/rotisserie/eris"
 	tally "github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/zap"
@@ -43,11 +42,22 @@
 	MetricsPort string `help:"Port that serves /metrics; none when empty." default:""`
 }
 
+// exitInvalid is the exit code for settings that the host cannot run with, the
+// same as that of "dandelioncart config check".
+const exitInvalid = 3
+
+// invalidError is an error with the exit code exitInvalid.
+type invalidError struct{ error }
+
+// ExitCode implements kong.ExitCoder.
+func (*invalidError) ExitCode() int { return exitInvalid }
+
 // Help returns examples.
 func (o *Options) Help() string {
 	return `The host serves callers, the directory and the readiness checks of the platform
 until it receives SIGTERM. It then leaves the address answers and finishes what
-runs within the platform's stop time.
+runs within the platform's stop time. Settings that it cannot run with are listed
+with their lines, and the exit code is 3.
 
 Examples:
 
@@ -56,15 +66,14 @@
 }
 
 // Run serves until ctx ends.
-func (o *Options) Run(ctx context.Context, out io.Writer) (err error) {
-	defer func() { err = eris.Wrap(err, "serve") }()
+func (o *Options) Run(ctx context.Context, out io.Writer) error {
 	// Until it is asked for, SIGHUP ends a process.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
 	settings, err := platform.LoadSettings(o.Settings)
 	if err != nil {
-		return err
+		return &invalidError{err}
 	}
 	if settings.Cores > 0 {
 		runtime.GOMAXPROCS(settings.Cores)
--- /dev/null
+++ b/internal/dccommand/dcplatformcommand/dcplatformcommand_test.go
@@ -0,0 +1,27 @@
+package dcplatformcommand
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/alecthomas/kong"
+)
+
+// TestSettingsThatCannotBeUsed guards against a host that starts with settings
+// it cannot run with, or ends without an exit code of its own.
+func TestSettingsThatCannotBeUsed(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "local.yaml")
+	if err := os.WriteFile(file, []byte("node_name: h1\nlimits:\n  memory_mb: 0\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	err := (&Options{Settings: file}).Run(context.Background(), io.Discard)
+	var coded kong.ExitCoder
+	if !errors.As(err, &coded) || coded.ExitCode() != exitInvalid || !strings.Contains(err.Error(), "local.yaml:3: limits.memory_mb") {
+		t.Errorf("error %v", err)
+	}
+}
--- a/internal/dcconfig/accept.go
+++ b/internal/dcconfig/accept.go
@@ -51,7 +51,7 @@
 			Message:   r.Message,
 		},
 		Revision: uint32(r.Revision),
-		Errors:   r.Errors.Proto(),
+		Errors:   dcsettings.Proto(r.Errors),
 	}
 }
 
--- /dev/null
+++ b/internal/dcdocument/dcdocument.go
@@ -0,0 +1,333 @@
+// Package dcdocument reads YAML documents whose fields are looked up by path,
+// and reports every fault with its file, line and field.
+package dcdocument
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Error is one fault in a document.
+type Error struct {
+	File string
+	// Line counts from 1.
+	Line int
+	// Field is a path such as service-groups[0].max-deadline; empty for faults
+	// of the whole document.
+	Field   string
+	Message string
+}
+
+// String returns the fault as file:line: field: message.
+func (e Error) String() string {
+	if e.Field == "" {
+		return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Message)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Field, e.Message)
+}
+
+// Errors holds every fault of a document, ordered by line.
+type Errors []Error
+
+// Error lists one fault in each line.
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i, fault := range e {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Document is a document that is being read. Each method returns the zero value
+// of a field that is missing or has a fault, and records the fault.
+type Document struct {
+	file   string
+	root   *yaml.Node
+	faults Errors
+	// used holds the paths that were looked up.
+	used map[string]bool
+}
+
+var syntaxLine = regexp.MustCompile(`line (\d+): (.*)`)
+
+// Parse reads a document, which must hold one mapping. The file is only a name
+// for messages.
+func Parse(file string, content []byte) (*Document, error) {
+	decoder := yaml.NewDecoder(bytes.NewReader(content))
+	var root, extra yaml.Node
+	if err := decoder.Decode(&root); err != nil {
+		return nil, Errors{SyntaxError(file, err)}
+	}
+	if err := decoder.Decode(&extra); !errors.Is(err, io.EOF) {
+		return nil, Errors{{File: file, Line: max(extra.Line, 1), Message: "file holds more than one document; keep one"}}
+	}
+	if root.Kind != yaml.DocumentNode || len(root.Content) != 1 || root.Content[0].Kind != yaml.MappingNode {
+		return nil, Errors{{File: file, Line: 1, Message: "must be a mapping of fields"}}
+	}
+	return &Document{file: file, root: root.Content[0], used: make(map[string]bool)}, nil
+}
+
+// SyntaxError translates an error of the YAML decoder.
+func SyntaxError(file string, err error) Error {
+	if errors.Is(err, io.EOF) {
+		return Error{File: file, Line: 1, Message: "document is empty"}
+	}
+	text := strings.TrimPrefix(err.Error(), "yaml: ")
+	found := syntaxLine.FindStringSubmatch(text)
+	if found == nil {
+		return Error{File: file, Line: 1, Message: "not valid YAML: " + text}
+	}
+	line, _ := strconv.Atoi(found[1])
+	return Error{File: file, Line: max(line, 1), Message: "not valid YAML: " + found[2]}
+}
+
+// Err returns the faults, ordered by line, or nil.
+func (d *Document) Err() error {
+	if len(d.faults) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(d.faults, func(a, b Error) int { return a.Line - b.Line })
+	return d.faults
+}
+
+// Fault records a fault of a field, at the line of the field or of the nearest
+// enclosing one that the document has.
+func (d *Document) Fault(path, format string, arguments ...any) {
+	line := 1
+	node := d.root
+	for name := range strings.SplitSeq(path, ".") {
+		key, value := child(node, name)
+		if key == nil {
+			break
+		}
+		line, node = key.Line, value
+	}
+	d.faults = append(d.faults, Error{File: d.file, Line: line, Field: path, Message: fmt.Sprintf(format, arguments...)})
+}
+
+// Text returns a text that must not be empty.
+func (d *Document) Text(path string) string {
+	text := d.OptionalText(path)
+	if text == "" && !d.faulty(path) {
+		d.Fault(path, "is missing; give a name")
+	}
+	return text
+}
+
+// OptionalText returns a text that may be missing.
+func (d *Document) OptionalText(path string) string {
+	node := d.find(path)
+	switch {
+	case node == nil || node.ShortTag() == "!!null":
+		return ""
+	case node.Kind != yaml.ScalarNode || node.ShortTag() != "!!str":
+		d.Fault(path, "must be text, found %s", Describe(node))
+		return ""
+	}
+	return node.Value
+}
+
+// Address returns an IP address and port.
+func (d *Document) Address(path string) string {
+	text := d.OptionalText(path)
+	if d.faulty(path) {
+		return ""
+	}
+	d.checkAddress(path, text)
+	return text
+}
+
+// OptionalAddress returns an IP address and port, or nothing.
+func (d *Document) OptionalAddress(path string) string {
+	text := d.OptionalText(path)
+	if text != "" {
+		d.checkAddress(path, text)
+	}
+	return text
+}
+
+func (d *Document) checkAddress(path, text string) {
+	switch parsed, err := netip.ParseAddrPort(text); {
+	case text == "":
+		d.Fault(path, "is missing; give an IP address and port")
+	case err != nil || parsed.Port() == 0:
+		d.Fault(path, "%q must be an IP address and port such as 10.0.0.1:7000", Clip(text))
+	}
+}
+
+// Texts returns the texts of a list that may be missing.
+func (d *Document) Texts(path string) (texts []string) {
+	node := d.find(path)
+	switch {
+	case node == nil || node.ShortTag() == "!!null":
+		return nil
+	case node.Kind != yaml.SequenceNode:
+		d.Fault(path, "must be a list, found %s", Describe(node))
+		return nil
+	}
+	for i, item := range node.Content {
+		item = resolve(item)
+		if item.Kind != yaml.ScalarNode || item.ShortTag() != "!!str" {
+			d.Fault(path, "entry %d must be text, found %s", i+1, Describe(item))
+			continue
+		}
+		texts = append(texts, item.Value)
+	}
+	return texts
+}
+
+// Number returns a number that must be given, from low to high.
+func (d *Document) Number(path string, low, high float64) float64 {
+	if d.find(path) == nil {
+		d.Fault(path, "is missing; give a number from %g to %g", low, high)
+		return 0
+	}
+	return d.OptionalNumber(path, 0, low, high)
+}
+
+// OptionalNumber returns a number from low to high, or a default when it is
+// missing.
+func (d *Document) OptionalNumber(path string, missing, low, high float64) float64 {
+	node := d.find(path)
+	if node == nil {
+		return missing
+	}
+	var value float64
+	tag := node.ShortTag()
+	switch {
+	case node.Kind != yaml.ScalarNode || tag != "!!int" && tag != "!!float" || node.Decode(&value) != nil || math.IsNaN(value):
+		d.Fault(path, "must be a number, found %s", Describe(node))
+		return missing
+	case value < low || value > high:
+		d.Fault(path, "%s must be from %g to %g", Clip(node.Value), low, high)
+		return missing
+	}
+	return value
+}
+
+// Unknown returns the paths of fields that were neither looked up nor are
+// listed as known, sorted. A known or used mapping stands for all below it.
+func (d *Document) Unknown(known ...string) []string {
+	paths := make(map[string]bool)
+	d.unknown(d.root, "", known, paths)
+	sorted := make([]string, 0, len(paths))
+	for path := range paths {
+		sorted = append(sorted, path)
+	}
+	slices.Sort(sorted)
+	return sorted
+}
+
+func (d *Document) unknown(node *yaml.Node, prefix string, known []string, paths map[string]bool) {
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		path := prefix + node.Content[i].Value
+		value := resolve(node.Content[i+1])
+		switch {
+		case d.used[path] || slices.Contains(known, path):
+		case value.Kind == yaml.MappingNode && d.usedBelow(path, known):
+			d.unknown(value, path+".", known, paths)
+		default:
+			paths[Clip(path)] = true
+		}
+	}
+}
+
+func (d *Document) usedBelow(path string, known []string) bool {
+	below := func(other string) bool { return strings.HasPrefix(other, path+".") }
+	for used := range d.used {
+		if below(used) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(known, below)
+}
+
+func (d *Document) faulty(path string) bool {
+	return slices.ContainsFunc(d.faults, func(e Error) bool { return e.Field == path })
+}
+
+// find returns the value of a field, or nil.
+func (d *Document) find(path string) *yaml.Node {
+	d.used[path] = true
+	node := d.root
+	for name := range strings.SplitSeq(path, ".") {
+		key, value := child(node, name)
+		if key == nil {
+			return nil
+		}
+		node = value
+	}
+	return node
+}
+
+// child returns a field of a mapping. The name may end with the index of an
+// entry of its list, such as routes[2], whose node then stands for the key.
+func child(node *yaml.Node, name string) (key, value *yaml.Node) {
+	if list, index, ok := strings.Cut(strings.TrimSuffix(name, "]"), "["); ok {
+		_, entries := child(node, list)
+		position, err := strconv.Atoi(index)
+		if entries == nil || entries.Kind != yaml.SequenceNode || err != nil || position >= len(entries.Content) {
+			return nil, nil
+		}
+		return entries.Content[position], resolve(entries.Content[position])
+	}
+	if node.Kind != yaml.MappingNode {
+		return nil, nil
+	}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		if node.Content[i].Value == name {
+			return node.Content[i], resolve(node.Content[i+1])
+		}
+	}
+	return nil, nil
+}
+
+func resolve(node *yaml.Node) *yaml.Node {
+	if node.Kind == yaml.AliasNode {
+		return node.Alias
+	}
+	return node
+}
+
+// Describe names a value in a message.
+func Describe(node *yaml.Node) string {
+	switch node.Kind {
+	case yaml.MappingNode:
+		return "a mapping"
+	case yaml.SequenceNode:
+		return "a list"
+	}
+	switch node.ShortTag() {
+	case "!!int", "!!float":
+		return "the number " + Clip(node.Value)
+	case "!!bool":
+		return "the truth value " + Clip(node.Value)
+	case "!!null":
+		return "no value"
+	case "!!timestamp":
+		return "the date " + Clip(node.Value)
+	case "!!str":
+		return strconv.Quote(Clip(node.Value))
+	default:
+		return "a value tagged " + Clip(node.Tag)
+	}
+}
+
+// Clip shortens text for messages.
+func Clip(text string) string {
+	const limit = 40
+	if len(text) <= limit {
+		return text
+	}
+	return strings.ToValidUTF8(text[:limit], "") + "..."
+}
--- a/internal/dcroute/dcroute.go
+++ b/internal/dcroute/dcroute.go
@@ -4,6 +4,8 @@
 
 import (
 	"cmp"
+	"errors"
+	"fmt"
 	"math"
 	"slices"
 	"strings"
@@ -81,7 +83,37 @@
 	services map[dcid.ServiceName]*Service
 }
 
-// NewTable checks a configuration and prepares it for lookups.
+// RouteError is what is wrong with one route.
+type RouteError struct {
+	// Index is the place of the route in the configuration.
+	Index   int
+	Name    dcid.RouteName
+	Message string
+}
+
+// Error names the route.
+func (e *RouteError) Error() string {
+	return fmt.Sprintf("route %q: %s", e.Name, e.Message)
+}
+
+// RouteErrors returns every RouteError in an error.
+func RouteErrors(err error) (faults []*RouteError) {
+	if fault, ok := err.(*RouteError); ok {
+		return []*RouteError{fault}
+	}
+	switch wrapped := err.(type) {
+	case interface{ Unwrap() []error }:
+		for _, each := range wrapped.Unwrap() {
+			faults = append(faults, RouteErrors(each)...)
+		}
+	case interface{ Unwrap() error }:
+		return RouteErrors(wrapped.Unwrap())
+	}
+	return faults
+}
+
+// NewTable checks a configuration and prepares it for lookups. Its error joins
+// a RouteError for each route that cannot be used.
 func NewTable(configuration Configuration) (table *Table, err error) {
 	defer func() { err = eris.Wrapf(err, "configuration version %d", configuration.Version) }()
 	table = &Table{
@@ -93,14 +125,19 @@
 		service := &configuration.Services[i]
 		table.services[service.Name] = service
 	}
+	var faults []error
 	for i := range configuration.Routes {
 		route := &configuration.Routes[i]
-		if err := route.check(); err != nil {
-			return nil, err
+		if message := route.check(); message != "" {
+			faults = append(faults, &RouteError{Index: i, Name: route.Name, Message: message})
+			continue
 		}
 		host := normalizeHost(route.Host)
 		table.hosts[host] = append(table.hosts[host], route)
 	}
+	if len(faults) > 0 {
+		return nil, errors.Join(faults...)
+	}
 	for _, routes := range table.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
@@ -129,39 +166,40 @@
 	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
 
-func (r *Route) check() error {
+// check returns what is wrong with the route, or nothing.
+func (r *Route) check() string {
 	switch {
 	case r.Host == "":
-		return eris.Errorf("route %q: host is missing", r.Name)
+		return "host is missing"
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
-		return eris.Errorf("route %q: prefix %q must begin and end with a slash", r.Name, r.Prefix)
+		return fmt.Sprintf("prefix %q must begin and end with a slash", r.Prefix)
 	case r.Timeout <= 0:
-		return eris.Errorf("route %q: timeout must be positive", r.Name)
+		return "timeout must be positive"
 	case r.MaxAttempts < 1:
-		return eris.Errorf("route %q: the number of attempts must be at least 1", r.Name)
+		return "the number of attempts must be at least 1"
 	case (len(r.Split) == 0) == (len(r.Shards) == 0):
-		return eris.Errorf("route %q: name either services or shards", r.Name)
+		return "name either services or shards"
 	}
 	return r.checkTargets()
 }
 
-func (r *Route) checkTargets() error {
+func (r *Route) checkTargets() string {
 	for _, share := range r.Split {
 		if share.Service == "" || share.Weight < 0 {
-			return eris.Errorf("route %q: each part of a split needs a service and a weight of 0 or more", r.Name)
+			return "each part of a split needs a service and a weight of 0 or more"
 		}
 	}
 	seen := make(map[dcid.ServiceName]bool, len(r.Shards))
 	for _, shard := range r.Shards {
 		if shard == "" || seen[shard] {
-			return eris.Errorf("route %q: shard %q is empty or named twice", r.Name, shard)
+			return fmt.Sprintf("shard %q is empty or named twice", shard)
 		}
 		seen[shard] = true
 	}
 	if len(r.Shards) > 0 && (!r.Idempotent || r.MaxRecords < 1 || r.MinCoverage < 0 || r.MinCoverage > 1) {
-		return eris.Errorf("route %q: a query must be idempotent, with at least one record and a coverage from 0 to 1", r.Name)
+		return "a query must be idempotent, with at least one record and a coverage from 0 to 1"
 	}
-	return nil
+	return ""
 }
 
 // MinParts returns the number of shards that an answer needs, at least one.
--- a/internal/dcsettings/check.go
+++ b/internal/dcsettings/check.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcdocument"
 )
 
 // maxNameBytes bounds names, which become labels of metrics and parts of keys.
@@ -26,7 +28,7 @@
 	if len(r.faults) == maxErrors {
 		message = fmt.Sprintf("more than %d errors; correct those above first", maxErrors)
 	}
-	r.faults = append(r.faults, Error{File: r.file, Line: line, Field: path, Message: message})
+	r.faults = append(r.faults, dcdocument.Error{File: r.file, Line: line, Field: path, Message: message})
 }
 
 // halt records a fault after which nothing more is read.
@@ -89,13 +91,13 @@
 	case len(value) > maxNameBytes:
 		r.at(path, "is longer than %d bytes", maxNameBytes)
 	case !kebab.MatchString(value):
-		r.at(path, "%q must be kebab-case: a-z, 0-9 and single hyphens", clip(value))
+		r.at(path, "%q must be kebab-case: a-z, 0-9 and single hyphens", dcdocument.Clip(value))
 	}
 }
 
 func (r *reader) oneOf(path, value string, allowed ...string) {
 	if !slices.Contains(allowed, value) {
-		r.at(path, "%q must be one of: %s", clip(value), strings.Join(allowed, ", "))
+		r.at(path, "%q must be one of: %s", dcdocument.Clip(value), strings.Join(allowed, ", "))
 	}
 }
 
@@ -132,7 +134,7 @@
 	}
 	parsed, err := netip.ParseAddrPort(value)
 	if err != nil {
-		r.at(path, "%q must be an IP address and port such as 10.0.0.1:7000", clip(value))
+		r.at(path, "%q must be an IP address and port such as 10.0.0.1:7000", dcdocument.Clip(value))
 		return
 	}
 	if parsed.Port() == 0 || parsed.Addr().IsUnspecified() {
@@ -146,7 +148,7 @@
 func (r *reader) httpURL(path, value string) {
 	parsed, err := url.Parse(value)
 	if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Host == "" {
-		r.at(path, "%q must be a URL such as http://10.0.0.1:2379", clip(value))
+		r.at(path, "%q must be a URL such as http://10.0.0.1:2379", dcdocument.Clip(value))
 	}
 }
 
@@ -157,7 +159,7 @@
 	for i, value := range values {
 		path := fmt.Sprintf("%s[%d]%s", prefix, i, suffix)
 		if earlier, found := first[value]; found && value != "" {
-			r.at(path, "%s %q is already used at line %d", what, clip(value), r.line(earlier))
+			r.at(path, "%s %q is already used at line %d", what, dcdocument.Clip(value), r.line(earlier))
 			continue
 		}
 		first[value] = path
--- a/internal/dcsettings/configuration.go
+++ b/internal/dcsettings/configuration.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcdocument"
 )
 
 // Values of kind, coverage and stale-configuration rule, and of objectives.
@@ -117,6 +119,6 @@
 	case name == "":
 		s.check.at(path, "is missing; name a department")
 	case !s.departments[name]:
-		s.check.at(path, "department %q does not exist; add it to departments", clip(name))
+		s.check.at(path, "department %q does not exist; add it to departments", dcdocument.Clip(name))
 	}
 }
--- a/internal/dcsettings/dcsettings.go
+++ b/internal/dcsettings/dcsettings.go
@@ -5,7 +5,6 @@
 package dcsettings
 
 import (
-	"fmt"
 	"io"
 	"os"
 	"sort"
@@ -14,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/dandelioncart/dandelioncart/internal/dcdocument"
 	callerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/caller/v1"
 	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
 )
@@ -22,50 +22,22 @@
 // document must fit into one store value of 1 MiB.
 const MaxDocumentBytes = 768 << 10
 
-// Error is one fault in a document.
-type Error struct {
-	File string
-	// Line counts from 1.
-	Line int
-	// Field is a path such as service-groups[0].max-deadline; empty for faults
-	// of the whole document.
-	Field   string
-	Message string
-}
-
-// String returns the fault as file:line: field: message.
-func (e Error) String() string {
-	if e.Field == "" {
-		return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Message)
-	}
-	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Field, e.Message)
-}
-
 // Errors holds every fault of a document, ordered by line. LoadHost,
 // ParseHost and ParseConfiguration return it as their error.
-type Errors []Error
-
-// Error lists one fault in each line.
-func (e Errors) Error() string {
-	lines := make([]string, len(e))
-	for i, fault := range e {
-		lines[i] = fault.String()
-	}
-	return strings.Join(lines, "\n")
-}
+type Errors = dcdocument.Errors
 
-// Proto returns the faults as messages for callers.
-func (e Errors) Proto() []*callerv1.FieldError {
-	faults := make([]*callerv1.FieldError, len(e))
-	for i, fault := range e {
-		faults[i] = &callerv1.FieldError{
+// Proto returns faults as messages for callers.
+func Proto(faults Errors) []*callerv1.FieldError {
+	messages := make([]*callerv1.FieldError, len(faults))
+	for i, fault := range faults {
+		messages[i] = &callerv1.FieldError{
 			File:    fault.File,
 			Line:    int32(fault.Line),
 			Field:   fault.Field,
 			Message: fault.Message,
 		}
 	}
-	return faults
+	return messages
 }
 
 // LoadHost reads host settings from a file, with defaults filled in.
@@ -126,7 +98,7 @@
 // each alias; only the first is kept.
 func sorted(faults Errors) Errors {
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Line < faults[j].Line })
-	seen := make(map[Error]bool, len(faults))
+	seen := make(map[dcdocument.Error]bool, len(faults))
 	var kept Errors
 	for _, fault := range faults {
 		same := fault
--- a/internal/dcsettings/group.go
+++ b/internal/dcsettings/group.go
@@ -6,6 +6,8 @@
 	"time"
 
 	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcdocument"
 )
 
 const (
@@ -161,7 +163,7 @@
 		return share.GetDepartment() == name
 	})
 	if !has {
-		s.check.at(path, "department %q has no share of this group", clip(name))
+		s.check.at(path, "department %q has no share of this group", dcdocument.Clip(name))
 	}
 }
 
@@ -189,7 +191,7 @@
 		domain := upstream.GetFailureDomain()
 		domains = append(domains, domain)
 		if !s.domains[domain] {
-			s.check.at(at+".failure-domain", "failure domain %q is not declared; add it to failure-domains", clip(domain))
+			s.check.at(at+".failure-domain", "failure domain %q is not declared; add it to failure-domains", dcdocument.Clip(domain))
 		}
 		s.checkServers(at, upstream)
 	}
@@ -204,14 +206,14 @@
 		at := fmt.Sprintf("%s.servers[%d]", path, i)
 		s.check.address(at, server)
 		if earlier, found := s.servers[server]; found && server != "" {
-			s.check.at(at, "server %q is already listed at line %d", clip(server), s.check.line(earlier))
+			s.check.at(at, "server %q is already listed at line %d", dcdocument.Clip(server), s.check.line(earlier))
 			continue
 		}
 		s.servers[server] = at
 	}
 	for i, server := range upstream.GetLeaving() {
 		if !slices.Contains(upstream.GetServers(), server) {
-			s.check.at(fmt.Sprintf("%s.leaving[%d]", path, i), "server %q is not in servers", clip(server))
+			s.check.at(fmt.Sprintf("%s.leaving[%d]", path, i), "server %q is not in servers", dcdocument.Clip(server))
 		}
 	}
 }
--- a/internal/dcsettings/host.go
+++ b/internal/dcsettings/host.go
@@ -8,6 +8,8 @@
 
 	"github.com/dandelioncart/dandelioncart/internal/dcauth"
 	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcdocument"
 )
 
 func checkHost(check *reader, settings *settingsv1.HostSettings) {
@@ -39,7 +41,7 @@
 	}
 	parsed, err := netip.ParseAddrPort(listener.GetListen())
 	if err != nil {
-		check.at(listen, "%q must be an IP address and port such as 10.0.0.1:7000", clip(listener.GetListen()))
+		check.at(listen, "%q must be an IP address and port such as 10.0.0.1:7000", dcdocument.Clip(listener.GetListen()))
 		return
 	}
 	if listener.GetAdvertise() != "" {
@@ -61,7 +63,7 @@
 	}
 	check.durationBetween("store.timeout", store.GetTimeout(), 10*time.Millisecond, time.Minute)
 	if !strings.HasSuffix(store.GetPrefix(), "/") {
-		check.at("store.prefix", "%q must end with a slash", clip(store.GetPrefix()))
+		check.at("store.prefix", "%q must end with a slash", dcdocument.Clip(store.GetPrefix()))
 	}
 }
 
--- a/internal/dcsettings/scalar.go
+++ b/internal/dcsettings/scalar.go
@@ -10,6 +10,8 @@
 	"go.yaml.in/yaml/v3"
 	"google.golang.org/protobuf/reflect/protoreflect"
 	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcdocument"
 )
 
 const durationName = protoreflect.FullName("google.protobuf.Duration")
@@ -30,7 +32,7 @@
 		return none, false
 	}
 	if node.Kind != yaml.ScalarNode {
-		r.fail(path, node.Line, "must be %s, found %s", kindName(field), describe(node))
+		r.fail(path, node.Line, "must be %s, found %s", kindName(field), dcdocument.Describe(node))
 		return none, false
 	}
 	value, err := decodeScalar(node, field)
@@ -63,7 +65,7 @@
 
 func decodeText(node *yaml.Node) (protoreflect.Value, error) {
 	if node.ShortTag() != "!!str" {
-		return protoreflect.Value{}, fmt.Errorf("must be text, found %s; put it in quotes", describe(node))
+		return protoreflect.Value{}, fmt.Errorf("must be text, found %s; put it in quotes", dcdocument.Describe(node))
 	}
 	return protoreflect.ValueOfString(node.Value), nil
 }
@@ -71,7 +73,7 @@
 func decodeBool(node *yaml.Node) (protoreflect.Value, error) {
 	var value bool
 	if node.ShortTag() != "!!bool" || node.Decode(&value) != nil {
-		return protoreflect.Value{}, fmt.Errorf("must be true or false, found %s", describe(node))
+		return protoreflect.Value{}, fmt.Errorf("must be true or false, found %s", dcdocument.Describe(node))
 	}
 	return protoreflect.ValueOfBool(value), nil
 }
@@ -79,7 +81,7 @@
 func decodeInt32(node *yaml.Node) (protoreflect.Value, error) {
 	var value int64
 	if node.ShortTag() != "!!int" {
-		return protoreflect.Value{}, fmt.Errorf("must be a whole number, found %s", describe(node))
+		return protoreflect.Value{}, fmt.Errorf("must be a whole number, found %s", dcdocument.Describe(node))
 	}
 	if node.Decode(&value) != nil || value < math.MinInt32 || value > math.MaxInt32 {
 		return protoreflect.Value{}, fmt.Errorf("%s is out of range for a 32-bit number", node.Value)
@@ -90,7 +92,7 @@
 func decodeUint32(node *yaml.Node) (protoreflect.Value, error) {
 	var value uint64
 	if node.ShortTag() != "!!int" {
-		return protoreflect.Value{}, fmt.Errorf("must be a whole number, found %s", describe(node))
+		return protoreflect.Value{}, fmt.Errorf("must be a whole number, found %s", dcdocument.Describe(node))
 	}
 	if node.Decode(&value) != nil || value > math.MaxUint32 {
 		return protoreflect.Value{}, fmt.Errorf("%s is out of range for a 32-bit number that is not negative", node.Value)
@@ -102,7 +104,7 @@
 	var value float64
 	tag := node.ShortTag()
 	if (tag != "!!int" && tag != "!!float") || node.Decode(&value) != nil {
-		return protoreflect.Value{}, fmt.Errorf("must be a number, found %s", describe(node))
+		return protoreflect.Value{}, fmt.Errorf("must be a number, found %s", dcdocument.Describe(node))
 	}
 	if math.IsNaN(value) || math.IsInf(value, 0) {
 		return protoreflect.Value{}, fmt.Errorf("must be a finite number, found %s", node.Value)
@@ -117,7 +119,7 @@
 		return protoreflect.Value{}, fmt.Errorf("duration %q has no unit; write for example %sms or %ss", node.Value, node.Value, node.Value)
 	}
 	if node.ShortTag() != "!!str" {
-		return protoreflect.Value{}, fmt.Errorf("must be a duration such as 250ms, found %s", describe(node))
+		return protoreflect.Value{}, fmt.Errorf("must be a duration such as 250ms, found %s", dcdocument.Describe(node))
 	}
 	value, err := time.ParseDuration(node.Value)
 	if err != nil {
@@ -139,35 +141,3 @@
 		return "a number"
 	}
 }
-
-func describe(node *yaml.Node) string {
-	switch node.Kind {
-	case yaml.MappingNode:
-		return "a mapping"
-	case yaml.SequenceNode:
-		return "a list"
-	}
-	switch node.ShortTag() {
-	case "!!int", "!!float":
-		return "the number " + clip(node.Value)
-	case "!!bool":
-		return "the truth value " + clip(node.Value)
-	case "!!null":
-		return "no value"
-	case "!!timestamp":
-		return "the date " + clip(node.Value)
-	case "!!str":
-		return strconv.Quote(clip(node.Value))
-	default:
-		return "a value tagged " + clip(node.Tag)
-	}
-}
-
-// clip shortens text for messages.
-func clip(text string) string {
-	const limit = 40
-	if len(text) <= limit {
-		return text
-	}
-	return strings.ToValidUTF8(text[:limit], "") + "..."
-}
--- a/internal/dcsettings/walk.go
+++ b/internal/dcsettings/walk.go
@@ -5,13 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"regexp"
-	"strconv"
 	"strings"
 
 	"go.yaml.in/yaml/v3"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcdocument"
 )
 
 const (
@@ -27,8 +27,6 @@
 
 const mergeKey = "<<"
 
-var syntaxLine = regexp.MustCompile(`line (\d+): (.*)`)
-
 // reader walks one document and collects its faults.
 type reader struct {
 	file   string
@@ -85,18 +83,8 @@
 }
 
 func (r *reader) syntax(err error) {
-	if errors.Is(err, io.EOF) {
-		r.halt(1, "", "document is empty")
-		return
-	}
-	text := strings.TrimPrefix(err.Error(), "yaml: ")
-	found := syntaxLine.FindStringSubmatch(text)
-	if found == nil {
-		r.halt(1, "", "not valid YAML: %s", text)
-		return
-	}
-	line, _ := strconv.Atoi(found[1])
-	r.halt(max(line, 1), "", "not valid YAML: %s", found[2])
+	fault := dcdocument.SyntaxError(r.file, err)
+	r.halt(fault.Line, "", "%s", fault.Message)
 }
 
 // message reads a mapping into a message.
@@ -106,7 +94,7 @@
 		return
 	}
 	if node.Kind != yaml.MappingNode {
-		r.fail(path, node.Line, "must be a mapping of fields, found %s", describe(node))
+		r.fail(path, node.Line, "must be a mapping of fields, found %s", dcdocument.Describe(node))
 		r.halted = r.halted || path == ""
 		return
 	}
@@ -158,7 +146,7 @@
 		return found
 	}
 	if source.Kind != yaml.MappingNode {
-		r.add(source.Line, path, "merge key must name a mapping, found %s", describe(source))
+		r.add(source.Line, path, "merge key must name a mapping, found %s", dcdocument.Describe(source))
 		return found
 	}
 	for _, entry := range r.pairs(source, path, depth) {
@@ -208,7 +196,7 @@
 		return
 	}
 	if node.Kind != yaml.SequenceNode {
-		r.fail(path, node.Line, "must be a list, found %s", describe(node))
+		r.fail(path, node.Line, "must be a list, found %s", dcdocument.Describe(node))
 		return
 	}
 	for i, item := range node.Content {
