Forget slow latencies after 4 s when hedges are timed

Latencies are now kept for 4 s; routes with fewer than 200 requests in that time use those of 20 s. One histogram gives both quantiles, so memory stays the same.

The delays of the product's own edge keep their 20 s.

--- a/internal/dcbudget/budget.go
+++ b/internal/dcbudget/budget.go
@@ -46,7 +46,7 @@
 // one had been running. Leaving out cancelled ones would lower the quantile
 // with each hedge that wins, and so raise the number of hedges.
 func (g *Group) RecordLatency(latency time.Duration, now time.Time) {
-	g.latency.record(latency, now)
+	g.latency.recent.Record(latency, now)
 }
 
 // HedgeDelay returns how long to wait for an answer before hedge number
--- a/internal/dcbudget/tracker.go
+++ b/internal/dcbudget/tracker.go
@@ -1,27 +1,12 @@
 package dcbudget
 
-import (
-	"time"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
-)
+import "time"
 
 // Parameters of the latency tracker.
 const (
-	// lowest and highest latency told apart; longer ones count as highest.
-	lowest  = 10 * time.Microsecond
-	highest = time.Minute
-	// digits of precision of a latency.
-	digits = 2
-	// windows and windowTime give the age at which a latency is forgotten.
-	windows    = 4
+	// windowTime is the age at which the latencies of a group are forgotten,
+	// divided by windows.
 	windowTime = 5 * time.Second
-	// refreshTime is how long computed delays are used before they are
-	// computed again; merging the windows takes tens of microseconds.
-	refreshTime = 100 * time.Millisecond
-	// minSamples is the number of latencies before hedging starts. The 0.97
-	// quantile of fewer moves with single answers.
-	minSamples = 200
 	// hedgeShare is the part of the extra load that first hedges may use by
 	// themselves. The rest is for second hedges and retries.
 	hedgeShare = 0.6
@@ -43,70 +28,30 @@
 // for both delays.
 type tracker struct {
 	quantile float64
-	recent   *hdrhistogram.WindowedHistogram
-	rotated  time.Time
-	samples  int64
-	computed time.Time
-	first    time.Duration
-	later    time.Duration
+	recent   *Latencies
 }
 
+// Indexes of the quantiles of a tracker.
+const (
+	firstQuantile = iota
+	laterQuantile
+)
+
 func newTracker(quantile float64) tracker {
 	return tracker{
 		quantile: quantile,
-		recent:   hdrhistogram.NewWindowed(windows, lowest.Microseconds(), highest.Microseconds(), digits),
+		recent:   NewLatencies(windows*windowTime, quantile, 1-(1-quantile)*laterShare),
 	}
 }
 
-func (t *tracker) record(latency time.Duration, now time.Time) {
-	t.rotate(now)
-	latency = min(max(latency, lowest), highest)
-	// The value is within the range of the histogram, the only error there is.
-	_ = t.recent.Current.RecordValue(latency.Microseconds())
-}
-
 func (t *tracker) delay(hedge int, now time.Time) (time.Duration, bool) {
 	if t.quantile == 0 {
 		return 0, false
 	}
-	t.refresh(now)
-	if t.samples < minSamples {
-		return 0, false
+	first, ok := t.recent.Quantile(firstQuantile, now)
+	if !ok || hedge <= 1 {
+		return first, ok
 	}
-	if hedge > 1 {
-		return t.later, true
-	}
-	return t.first, true
-}
-
-func (t *tracker) refresh(now time.Time) {
-	t.rotate(now)
-	if !t.computed.IsZero() && now.Sub(t.computed) < refreshTime {
-		return
-	}
-	merged := t.recent.Merge()
-	t.computed = now
-	t.samples = merged.TotalCount()
-	t.first = quantileOf(merged, t.quantile)
-	t.later = max(quantileOf(merged, 1-(1-t.quantile)*laterShare)-t.first, t.first/laterFloor)
-}
-
-// rotate starts new windows for the time that has passed.
-func (t *tracker) rotate(now time.Time) {
-	if t.rotated.IsZero() {
-		t.rotated = now
-	}
-	passed := min(int(now.Sub(t.rotated)/windowTime), windows)
-	if passed <= 0 {
-		return
-	}
-	for range passed {
-		t.recent.Rotate()
-	}
-	t.rotated = now
-}
-
-func quantileOf(histogram *hdrhistogram.Histogram, quantile float64) time.Duration {
-	const percent = 100
-	return time.Duration(histogram.ValueAtQuantile(quantile*percent)) * time.Microsecond
+	later, _ := t.recent.Quantile(laterQuantile, now)
+	return max(later-first, first/laterFloor), true
 }
--- a/internal/dcengine/routes.go
+++ b/internal/dcengine/routes.go
@@ -12,13 +12,16 @@
 const (
 	// hedgeQuantile is the share of answers that arrive before a hedge is sent.
 	hedgeQuantile = 0.9
-	// hedgeFraction is the extra load that hedges of a route may cause.
-	hedgeFraction = 0.2
 	// medianQuantile gives the usual latency that servers are compared with.
 	medianQuantile = 0.5
 	// firstHedgeShare is the part of the latency target after which a hedge is
 	// sent while too few latencies are known.
 	firstHedgeShare = 4
+	// recentSpan and lastingSpan are how long latencies are kept. The longer one
+	// is used for routes with too few requests in the shorter one; on the others
+	// it would keep hedges late for long after servers were slow.
+	recentSpan  = 4 * time.Second
+	lastingSpan = 20 * time.Second
 )
 
 // routes holds what is learnt about each route, by name.
@@ -30,10 +33,10 @@
 // routeState holds the latencies of one route at its servers, and the position
 // in its split.
 type routeState struct {
-	mu     sync.Mutex
-	hedge  *dcbudget.Group
-	usual  *dcbudget.Group
-	credit map[dcid.ServiceName]float64
+	mu      sync.Mutex
+	recent  *dcbudget.Latencies
+	lasting *dcbudget.Latencies
+	credit  map[dcid.ServiceName]float64
 }
 
 func (r *routes) get(name dcid.RouteName) *routeState {
@@ -45,9 +48,9 @@
 			r.byName = make(map[dcid.RouteName]*routeState)
 		}
 		found = &routeState{
-			hedge:  dcbudget.NewGroup(hedgeQuantile, hedgeFraction),
-			usual:  dcbudget.NewGroup(medianQuantile, 1),
-			credit: make(map[dcid.ServiceName]float64),
+			recent:  dcbudget.NewLatencies(recentSpan, medianQuantile, hedgeQuantile),
+			lasting: dcbudget.NewLatencies(lastingSpan, medianQuantile, hedgeQuantile),
+			credit:  make(map[dcid.ServiceName]float64),
 		}
 		r.byName[name] = found
 	}
@@ -58,23 +61,35 @@
 func (r *routeState) record(latency time.Duration, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.hedge.RecordLatency(latency, now)
-	r.usual.RecordLatency(latency, now)
+	r.recent.Record(latency, now)
+	r.lasting.Record(latency, now)
 }
 
-// usualLatency returns the median latency at servers, 0 while unknown.
-func (r *routeState) usualLatency(now time.Time) time.Duration {
+// Places of the quantiles that are kept of latencies.
+const (
+	median = iota
+	hedgePoint
+)
+
+// quantile returns a quantile of the latencies, false while too few are known.
+func (r *routeState) quantile(index int, now time.Time) (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	usual, _ := r.usual.HedgeDelay(1, now)
+	if value, ok := r.recent.Quantile(index, now); ok {
+		return value, true
+	}
+	return r.lasting.Quantile(index, now)
+}
+
+// usualLatency returns the median latency at servers, 0 while unknown.
+func (r *routeState) usualLatency(now time.Time) time.Duration {
+	usual, _ := r.quantile(median, now)
 	return usual
 }
 
 // hedgeDelay returns the time to wait for an answer before a second send.
 func (r *routeState) hedgeDelay(target time.Duration, now time.Time) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if delay, ok := r.hedge.HedgeDelay(1, now); ok {
+	if delay, ok := r.quantile(hedgePoint, now); ok {
 		return delay
 	}
 	return target / firstHedgeShare
