--- a/internal/dcmirror/dcmirror.go
+++ b/internal/dcmirror/dcmirror.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	// gatherTime is the pause after an answer with changes. Each call is priced,
-	// so changes that follow each other are read with one. The pause doubles up
-	// to Mirror.MaxGather while changes keep coming.
+	// gatherTime is the pause after the first answer. Each call is priced, so
+	// changes that follow each other are read with one. The pause doubles with
+	// each answer up to Mirror.MaxGather, so that a host learns of the others soon
+	// after its start.
 	gatherTime = 200 * time.Millisecond
 	// defaultMaxGather holds when Mirror.MaxGather is not set.
 	defaultMaxGather = 800 * time.Millisecond
@@ -34,8 +35,6 @@
 	// probeInterval is the time between probes, which find a service that does
 	// not answer earlier than the limit of a watch.
 	probeInterval = 1300 * time.Millisecond
-	// quietTime without changes resets the pause.
-	quietTime = 2 * time.Second
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
@@ -72,8 +71,7 @@
 	Peers    Peers
 	Prefix   string
 	Observer Observer
-	// MaxGather bounds the pause between calls while changes keep coming; 800 ms
-	// when 0.
+	// MaxGather bounds the pause after an answer; 800 ms when 0.
 	MaxGather time.Duration
 	Clock     clockwork.Clock
 	Log       *zap.Logger
@@ -175,7 +173,6 @@
 			complete = false
 		}
 		update := update{snapshot: !complete}
-		called := m.Clock.Now()
 		if complete {
 			waiting, end := clockwork.WithTimeout(ctx, m.Clock, watchLimit)
 			m.watching(end)
@@ -189,7 +186,7 @@
 		} else {
 			update.records, update.revision, update.err = m.History.Snapshot(ctx, m.Prefix)
 		}
-		pause := m.nextGather(len(update.changes) > 0, m.Clock.Since(called))
+		pause := m.nextGather()
 		switch {
 		case errors.Is(update.err, dcstore.ErrHistoryGone):
 			complete = false
@@ -234,18 +231,9 @@
 	return m.revision > revision
 }
 
-// nextGather returns the pause after an answer that took some time.
-func (m *Mirror) nextGather(changed bool, took time.Duration) time.Duration {
-	switch {
-	case !changed && took >= quietTime:
-		return 0
-	case !changed:
-		return gatherTime
-	case took >= quietTime || m.gather == 0:
-		m.gather = gatherTime
-	default:
-		m.gather = min(2*m.gather, cmp.Or(m.MaxGather, defaultMaxGather))
-	}
+// nextGather returns the pause after an answer.
+func (m *Mirror) nextGather() time.Duration {
+	m.gather = min(max(2*m.gather, gatherTime), cmp.Or(m.MaxGather, defaultMaxGather))
 	return m.gather
 }
 
--- a/internal/dcmirror/dcmirror_test.go
+++ b/internal/dcmirror/dcmirror_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -265,3 +266,54 @@
 		t.Errorf("calls %v: the changes after revision 1 were asked for", history.calls)
 	}
 }
+
+// paced counts the calls that wait for changes.
+type paced struct {
+	stuck
+	changing bool
+	calls    atomic.Int64
+}
+
+func (p *paced) Changes(ctx context.Context, _ string, after dcstore.Revision) ([]dcstore.Change, dcstore.Revision, error) {
+	p.calls.Add(1)
+	if p.changing {
+		return []dcstore.Change{{Record: at("a", after+1)}}, after + 1, nil
+	}
+	const wait = 2 * time.Second
+	time.Sleep(wait)
+	return nil, after, ctx.Err()
+}
+
+// TestPauses guards against calls that follow each other without a pause, since
+// each is priced, and against a host that is slow to learn of others at its
+// start.
+func TestPauses(t *testing.T) {
+	const maxGather = time.Second
+	for _, changing := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			history := &paced{changing: changing}
+			mirror := &Mirror{History: history, Observer: &recorder{}, MaxGather: maxGather, Clock: clockwork.NewRealClock(), Log: zap.NewNop()}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- mirror.Run(ctx) }()
+			time.Sleep(maxGather)
+			if early := history.calls.Load(); early == 0 || changing && early < 2 {
+				t.Errorf("changing %v: %d calls in the first %v", changing, early, maxGather)
+			}
+			const span = 30 * time.Second
+			before := history.calls.Load()
+			time.Sleep(span)
+			least := maxGather
+			if !changing {
+				least += 2 * time.Second
+			}
+			if made := history.calls.Load() - before; made > int64(span/least)+1 {
+				t.Errorf("changing %v: %d calls in %v", changing, made, span)
+			}
+			cancel()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
