Refuse queries before they run while most fail by refusals

A route now compares its requests of the last two seconds with those that succeeded, and refuses before they run what exceeds twice the successes, with the code 'overloaded'. Only failures with a refusal of a server count.

--- a/internal/dcengine/handle.go
+++ b/internal/dcengine/handle.go
@@ -74,7 +74,14 @@
 	if run.reachable() < run.plan.MinParts {
 		return refusal(dcreason.NoServer), run
 	}
-	return run.run(ctx), run
+	if !run.state.admit(e.Clock.Now()) {
+		return refusal(dcreason.Overloaded), run
+	}
+	reply := run.run(ctx)
+	if run.refused > 0 && reply.Code != dcreason.OK && reply.Code != dcreason.Cancelled {
+		run.state.overloaded(e.Clock.Now())
+	}
+	return reply, run
 }
 
 func refusal(code dcreason.Code) Reply {
--- a/internal/dcengine/routes.go
+++ b/internal/dcengine/routes.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/dandelioncart/dandelioncart/internal/dcadmission"
 	"github.com/dandelioncart/dandelioncart/internal/dcbudget"
 	"github.com/dandelioncart/dandelioncart/internal/dcid"
 	"github.com/dandelioncart/dandelioncart/internal/dcroute"
@@ -30,13 +31,15 @@
 	byName map[dcid.RouteName]*routeState
 }
 
-// routeState holds the latencies of one route at its servers, and the position
-// in its split.
+// routeState holds the latencies of one route at its servers, the position in
+// its split and how many of its requests fail.
 type routeState struct {
 	mu      sync.Mutex
 	recent  *dcbudget.Latencies
 	lasting *dcbudget.Latencies
 	credit  map[dcid.ServiceName]float64
+	// throttle refuses requests while servers are overloaded.
+	throttle dcadmission.Throttle
 }
 
 func (r *routes) get(name dcid.RouteName) *routeState {
@@ -95,6 +98,20 @@
 	return target / firstHedgeShare
 }
 
+// admit reports whether a request may run.
+func (r *routeState) admit(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.throttle.Admit(now)
+}
+
+// overloaded counts a request that failed because servers refused work.
+func (r *routeState) overloaded(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.throttle.Failed(now)
+}
+
 // choose returns the service for the next request of a route. Each service
 // collects credit by its weight and the one with the most is chosen, which
 // keeps the shares exact over few requests.
--- a/internal/dcengine/run.go
+++ b/internal/dcengine/run.go
@@ -31,6 +31,8 @@
 	answers []*dcforward.Answer
 	// failure is the last answer of a server that ran the request and failed.
 	failure *dcforward.Answer
+	// refused counts the sends that servers refused.
+	refused int
 	results chan *result
 	journal journal
 	// sends counts the sends that are running.
@@ -88,6 +90,8 @@
 		if r.answers[ended.send.Part] == nil {
 			r.answers[ended.send.Part] = &ended.answer
 		}
+	case dcbalance.Refused:
+		r.refused++
 	case dcbalance.Failed:
 		r.failure = &ended.answer
 	}
--- a/internal/dcreason/dcreason.go
+++ b/internal/dcreason/dcreason.go
@@ -76,6 +76,7 @@
 	StaleServer          Code = "stale-server"
 	RouteUnknown         Code = "route-unknown"
 	TooManyRequests      Code = "too-many-requests"
+	Overloaded           Code = "overloaded"
 	PeerUnavailable      Code = "peer-unavailable"
 	CoverageIncomplete   Code = "coverage-incomplete"
 	OutcomeUnknown       Code = "outcome-unknown"
@@ -105,6 +106,7 @@
 	MapUnknown:           StaleEvidence,
 	StaleServer:          StaleEvidence,
 	TooManyRequests:      LocalLimit,
+	Overloaded:           LocalLimit,
 }
 
 // Place returns where the code is decided; local-policy unless listed
