--- /dev/null
+++ b/internal/dcidle/dcidle_test.go
@@ -0,0 +1,64 @@
+package dcidle
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// conn records that it was closed.
+type conn struct {
+	net.Conn
+	closed atomic.Bool
+}
+
+func (c *conn) Close() error {
+	c.closed.Store(true)
+	return nil
+}
+
+// TestTrack guards against connections that stay open for longer than the
+// configuration allows, and against ones that are closed under a request or by
+// the limit of an earlier configuration.
+func TestTrack(t *testing.T) {
+	const limit = 10 * time.Second
+	type step struct {
+		state http.ConnState
+		wait  time.Duration
+		limit time.Duration
+	}
+	for name, c := range map[string]struct {
+		steps  []step
+		closed bool
+	}{
+		"idle too long":          {[]step{{http.StateNew, 0, limit}, {http.StateActive, 0, limit}, {http.StateIdle, limit + 1, limit}}, true},
+		"never a request":        {[]step{{http.StateNew, limit + 1, limit}}, true},
+		"idle within limit":      {[]step{{http.StateNew, 0, limit}, {http.StateIdle, limit - 1, limit}}, false},
+		"long request":           {[]step{{http.StateNew, 0, limit}, {http.StateActive, 3 * limit, limit}}, false},
+		"used again":             {[]step{{http.StateIdle, limit - 1, limit}, {http.StateActive, limit, limit}, {http.StateIdle, limit - 1, limit}}, false},
+		"closed by its peer":     {[]step{{http.StateIdle, 0, limit}, {http.StateClosed, 2 * limit, limit}}, false},
+		"limit has risen":        {[]step{{http.StateIdle, 1, limit}, {http.StateActive, 1, limit}, {http.StateIdle, limit + 1, 2 * limit}}, false},
+		"limit has been lowered": {[]step{{http.StateIdle, 1, limit}, {http.StateActive, 1, limit}, {http.StateIdle, limit / 2, limit / 2}}, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			var current atomic.Int64
+			closer := &Closer{Limit: func() time.Duration { return time.Duration(current.Load()) }, Clock: clockwork.NewRealClock()}
+			connection := &conn{}
+			for _, step := range c.steps {
+				current.Store(int64(step.limit))
+				closer.Track(connection, step.state)
+				time.Sleep(step.wait)
+				synctest.Wait()
+			}
+			if connection.closed.Load() != c.closed {
+				t.Errorf("%s: closed %v", name, connection.closed.Load())
+			}
+			closer.Track(connection, http.StateClosed)
+		})
+	}
+}
