Bound log lines at 8 KiB, and name the services without a server

The line of a refusal with no-server did not say which service had none. The stories held hundreds of lines about servers of other services.

A line now holds at most 24 sends, failed ones first, and counts all of them by outcome. A refusal with no-server names the services, and 'trace' leaves out servers of services that the request has nothing to do with, and says how many.

--- a/internal/dccommand/dctracecommand/dctracecommand.go
+++ b/internal/dccommand/dctracecommand/dctracecommand.go
@@ -26,7 +26,8 @@
 // Help returns examples.
 func (o *Options) Help() string {
 	return `The story of a request consists of its own log lines on every host and of what
-those hosts logged about themselves within three seconds. Only requests that
+those hosts logged about themselves within three seconds, without the servers of
+services that it was not sent to. Only requests that
 failed, were answered late or without all shards have lines.
 
 Examples:
@@ -90,6 +91,9 @@
 			return err
 		}
 	}
+	if story.LeftOut > 0 {
+		_, _ = fmt.Fprintf(out, "\n%d lines about servers of other services are left out.\n", story.LeftOut)
+	}
 	return nil
 }
 
--- a/internal/dcengine/dcengine_test.go
+++ b/internal/dcengine/dcengine_test.go
@@ -15,10 +15,12 @@
 	"github.com/jonboulle/clockwork"
 	tally "github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/dandelioncart/dandelioncart/internal/dcbalance"
 	"github.com/dandelioncart/dandelioncart/internal/dcforward"
 	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
 	"github.com/dandelioncart/dandelioncart/internal/dcroute"
 )
 
@@ -287,3 +289,21 @@
 		t.Errorf("status %d after %d sends to %v", reply.Status, sender.count(), slices.Compact(sender.sends))
 	}
 }
+
+// TestNoServerIsExplained guards against a refusal whose log line does not say
+// which services have no server.
+func TestNoServerIsExplained(t *testing.T) {
+	engine := newEngine(t, &fakeSender{})
+	core, logs := observer.New(zap.WarnLevel)
+	engine.Log = zap.New(core)
+	for _, id := range []dcid.ServerID{"p2-a", "p2-b", "p4-a", "p4-b"} {
+		engine.RemoveServer(dcid.ServiceName(id[:2]), id)
+	}
+	if reply := engine.Handle(t.Context(), request(engine, "/query/x")); reply.Code != dcreason.NoServer {
+		t.Fatalf("reply %+v", reply)
+	}
+	entries := logs.FilterMessage("request failed").All()
+	if len(entries) != 1 || fmt.Sprint(entries[0].ContextMap()["services-without-server"]) != "[p2 p4]" {
+		t.Errorf("lines %+v", entries)
+	}
+}
--- a/internal/dcengine/handle.go
+++ b/internal/dcengine/handle.go
@@ -71,7 +71,7 @@
 	defer e.inFlight.Add(-1)
 	run := e.newRun(request, route)
 	run.version = table.Version
-	if run.reachable() < run.plan.MinParts {
+	if len(run.services)-len(run.unserved()) < run.plan.MinParts {
 		return refusal(dcreason.NoServer), run
 	}
 	if !run.state.admit(e.Clock.Now()) {
@@ -146,7 +146,10 @@
 	if run != nil {
 		fields = append(fields, zap.String("route", string(run.route.Name)), zap.Duration("target", run.route.Target),
 			zap.Duration("hedge-delay", run.plan.HedgeDelay), zap.Int64("configuration", int64(run.version)),
-			zap.Int("missing-shards", reply.Missing), zap.Array("sends", &run.journal))
+			zap.Int("missing-shards", reply.Missing), zap.Object("sends-by-outcome", outcomes{&run.journal}), zap.Array("sends", &run.journal))
+		if reply.Code == dcreason.NoServer {
+			fields = append(fields, zap.Strings("services-without-server", run.unserved()))
+		}
 	}
 	switch {
 	case reply.Code != dcreason.OK:
--- a/internal/dcengine/journal.go
+++ b/internal/dcengine/journal.go
@@ -1,6 +1,8 @@
 package dcengine
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,24 +53,64 @@
 	e.done, e.outcome, e.code, e.status, e.elapsed, e.err = true, answer.Outcome, answer.Code, answer.Status, elapsed, answer.Err
 }
 
+const (
+	// maxFullJournal is the number of sends up to which answered ones are logged.
+	maxFullJournal = 4
+	// maxLogged bounds the sends in a line. One takes up to 250 bytes, and a
+	// collector of logs may cut lines at 8 KiB.
+	maxLogged = 24
+)
+
 // MarshalLogArray implements zapcore.ArrayMarshaler. Answered sends are left
 // out of requests with many parts: what explains those is what is missing.
+// Sends that have failed come before those that wait.
 func (j *journal) MarshalLogArray(encoder zapcore.ArrayEncoder) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	for _, entry := range j.entries {
-		if entry.done && entry.outcome == dcbalance.Answered && len(j.entries) > maxFullJournal {
-			continue
-		}
-		if err := encoder.AppendObject(entry); err != nil {
-			return err
+	many := len(j.entries) > maxFullJournal
+	logged := 0
+	for _, waiting := range []bool{false, true} {
+		for _, entry := range j.entries {
+			if entry.done == waiting || many && entry.answered() || logged == maxLogged {
+				continue
+			}
+			if err := encoder.AppendObject(entry); err != nil {
+				return err
+			}
+			logged++
 		}
 	}
 	return nil
 }
 
-// maxFullJournal is the number of sends up to which answered ones are logged.
-const maxFullJournal = 4
+// outcomes counts the sends of a journal by reason code.
+type outcomes struct{ *journal }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (o outcomes) MarshalLogObject(encoder zapcore.ObjectEncoder) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	counts := make(map[string]int)
+	for _, entry := range o.entries {
+		counts[entry.reason()]++
+	}
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		encoder.AddInt(reason, counts[reason])
+	}
+	return nil
+}
+
+// pending is logged for a send without an outcome.
+const pending = "no-answer-yet"
+
+func (e *entry) answered() bool { return e.done && e.outcome == dcbalance.Answered }
+
+func (e *entry) reason() string {
+	if !e.done {
+		return pending
+	}
+	return string(e.code)
+}
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (e *entry) MarshalLogObject(encoder zapcore.ObjectEncoder) error {
@@ -79,11 +121,10 @@
 	if e.extra {
 		encoder.AddBool("extra", true)
 	}
+	encoder.AddString("reason", e.reason())
 	if !e.done {
-		encoder.AddString("reason", "no-answer-yet")
 		return nil
 	}
-	encoder.AddString("reason", string(e.code))
 	encoder.AddDuration("elapsed", e.elapsed)
 	if e.status != 0 {
 		encoder.AddInt("status", e.status)
--- a/internal/dcengine/run.go
+++ b/internal/dcengine/run.go
@@ -159,14 +159,14 @@
 	return Reply{Status: http.StatusBadGateway, Code: dcreason.OutcomeUnknown}
 }
 
-// reachable returns the number of parts that have a server.
-func (r *run) reachable() (count int) {
+// unserved returns the services of the parts that have no server.
+func (r *run) unserved() (names []string) {
 	for _, service := range r.services {
-		if service.usable() > 0 {
-			count++
+		if service.usable() == 0 {
+			names = append(names, string(service.name))
 		}
 	}
-	return count
+	return names
 }
 
 func (r *run) merged() Reply {
--- a/internal/dctrace/dctrace.go
+++ b/internal/dctrace/dctrace.go
@@ -55,6 +55,29 @@
 	Events []Event `json:"events"`
 	// Around are lines about the same hosts at the time.
 	Around []Event `json:"around"`
+	// LeftOut is the number of lines that would be around, but are about servers
+	// of services that the request has nothing to do with.
+	LeftOut int `json:"left-out"`
+}
+
+// unservedField lists the services of a request that have no server.
+const unservedField = "services-without-server"
+
+// services returns the services that the lines of the request name.
+func (s *Story) services() map[string]bool {
+	names := make(map[string]bool)
+	for _, event := range s.Events {
+		for _, send := range event.Sends {
+			names[send.Service] = true
+		}
+		unserved, _ := event.Fields[unservedField].([]any)
+		for _, each := range unserved {
+			if name, ok := each.(string); ok {
+				names[name] = true
+			}
+		}
+	}
+	return names
 }
 
 type line struct {
@@ -93,12 +116,18 @@
 	}
 	byTime := func(a, b Event) int { return a.Time.Compare(b.Time) }
 	slices.SortStableFunc(story.Events, byTime)
+	concerned := story.services()
 	for _, other := range others {
-		if slices.ContainsFunc(story.Events, func(e Event) bool {
+		if !slices.ContainsFunc(story.Events, func(e Event) bool {
 			return e.Host == other.Host && e.Time.Sub(other.Time).Abs() <= contextTime
 		}) {
-			story.Around = append(story.Around, other)
+			continue
+		}
+		if service, ok := other.Fields["service"].(string); ok && len(concerned) > 0 && !concerned[service] {
+			story.LeftOut++
+			continue
 		}
+		story.Around = append(story.Around, other)
 	}
 	slices.SortStableFunc(story.Around, byTime)
 	return story, nil
--- a/internal/dctrace/dctrace_test.go
+++ b/internal/dctrace/dctrace_test.go
@@ -34,3 +34,27 @@
 		t.Errorf("fields %v", story.Events[1].Fields)
 	}
 }
+
+// TestOtherServers guards against a story that drowns in lines about servers of
+// other services, and against one that leaves out those of its own.
+func TestOtherServers(t *testing.T) {
+	const lines = `{"ts":"2026-01-01T00:00:10Z","msg":"request failed","host":"h1","request":"r1","services-without-server":["q"],"sends":[{"service":"s"}]}
+{"ts":"2026-01-01T00:00:09Z","msg":"server removed","host":"h1","service":"s"}
+{"ts":"2026-01-01T00:00:09Z","msg":"server listed","host":"h1","service":"q"}
+{"ts":"2026-01-01T00:00:09Z","msg":"server listed","host":"h1","service":"other"}
+{"ts":"2026-01-01T00:00:09Z","msg":"store lost","host":"h1"}
+{"ts":"2026-01-01T00:00:09Z","msg":"route unknown","host":"h1","request":"r2"}
+{"ts":"2026-01-01T00:00:09Z","msg":"request failed","host":"h1","request":"r3"}
+`
+	story, err := Find("r1", strings.NewReader(lines))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(story.Around) != 3 || story.LeftOut != 1 {
+		t.Errorf("%d lines left out, around %+v", story.LeftOut, story.Around)
+	}
+	// Without any service of its own, all servers may matter.
+	if story, err = Find("r3", strings.NewReader(lines)); err != nil || len(story.Around) != 4 || story.LeftOut != 0 {
+		t.Errorf("%v, %d lines left out, around %+v", err, story.LeftOut, story.Around)
+	}
+}
