--- a/internal/dccommand/dcplatformcommand/dcplatformcommand.go
+++ b/internal/dccommand/dcplatformcommand/dcplatformcommand.go
@@ -15,12 +15,11 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	tally "github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/dandelioncart/dandelioncart/internal/dcengine"
 	"github.com/dandelioncart/dandelioncart/internal/dclog"
+	"github.com/dandelioncart/dandelioncart/internal/dcmetrics"
 	"github.com/dandelioncart/dandelioncart/platform"
 )
 
@@ -85,20 +84,14 @@
 	output := dclog.NewOutput(out)
 	defer output.Close()
 	log := output.NewLogger().With(zap.String("host", string(settings.Host)))
-	reporter := prometheus.NewReporter(prometheus.Options{})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:          "dandelioncart",
-		CachedReporter:  reporter,
-		Separator:       prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
-	}, metricsInterval)
+	scope, handler, closer := dcmetrics.New(metricsInterval)
 	defer closer.Close()
 	host := &platform.Host{
 		Settings:       settings,
 		Clock:          clockwork.NewRealClock(),
 		Log:            log,
 		Meter:          dcengine.NewMeter(scope),
-		MetricsHandler: reporter.HTTPHandler(),
+		MetricsHandler: handler,
 	}
 	if o.MetricsPort != "" {
 		address, _, err := net.SplitHostPort(settings.CallerAddress)
--- a/internal/dccommand/dcservecommand/serve.go
+++ b/internal/dccommand/dcservecommand/serve.go
@@ -13,8 +13,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	tally "github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -22,6 +20,7 @@
 	"github.com/dandelioncart/dandelioncart/internal/dcconnpool"
 	"github.com/dandelioncart/dandelioncart/internal/dchost"
 	"github.com/dandelioncart/dandelioncart/internal/dchostlist"
+	"github.com/dandelioncart/dandelioncart/internal/dcmetrics"
 	"github.com/dandelioncart/dandelioncart/internal/dcpeer"
 	"github.com/dandelioncart/dandelioncart/internal/dcsettings"
 	"github.com/dandelioncart/dandelioncart/internal/dcstore"
@@ -139,14 +138,8 @@
 	if err := listen(host); err != nil {
 		return nil, nil, err
 	}
-	reporter := prometheus.NewReporter(prometheus.Options{})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:          "dandelioncart",
-		CachedReporter:  reporter,
-		Separator:       prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
-	}, metricsInterval)
-	host.Metrics, host.MetricsHandler = scope, reporter.HTTPHandler()
+	scope, handler, closer := dcmetrics.New(metricsInterval)
+	host.Metrics, host.MetricsHandler = scope, handler
 	return host, func() {
 		_ = closer.Close()
 		upstream.Close()
