--- a/internal/dccommand/dcdemocommand/deployment.go
+++ b/internal/dccommand/dcdemocommand/deployment.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"github.com/dandelioncart/dandelioncart/internal/dcprocess"
 	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
 	standinv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/standin/v1"
 )
@@ -37,12 +38,10 @@
 
 // process is one program that this demo started.
 type process struct {
-	name    string
-	command *exec.Cmd
-	log     string
-	done    chan struct{}
-	err     error
-	ended   bool
+	*dcprocess.Process
+	name  string
+	log   string
+	ended bool
 }
 
 // launch starts a program whose standard error goes to a file.
@@ -52,26 +51,11 @@
 		return nil, err
 	}
 	defer log.Close()
-	started := &process{
-		name:    name,
-		command: exec.Command(filepath.Join(d.options.Bin, program), arguments...),
-		log:     log.Name(),
-		done:    make(chan struct{}),
-	}
-	started.command.Stderr = log
-	started.command.Stdout = output
-	if err := started.command.Start(); err != nil {
+	started, err := dcprocess.Start(filepath.Join(d.options.Bin, program), arguments, output, log)
+	if err != nil {
 		return nil, err
 	}
-	go func() {
-		started.err = started.command.Wait()
-		close(started.done)
-	}()
-	return started, nil
-}
-
-func (p *process) signal(signal os.Signal) {
-	_ = p.command.Process.Signal(signal)
+	return &process{Process: started, name: name, log: log.Name()}, nil
 }
 
 // start brings everything up and applies the configuration.
@@ -148,8 +132,8 @@
 			}
 			select {
 			case <-time.After(pollInterval):
-			case <-d.hosts[i].done:
-				return eris.Errorf("%s ended early: %v", d.hosts[i].name, d.hosts[i].err)
+			case <-d.hosts[i].Done():
+				return eris.Errorf("%s ended early: %v", d.hosts[i].name, d.hosts[i].Err())
 			case <-ctx.Done():
 				return eris.Errorf("%s does not answer %s", d.hosts[i].name, path)
 			}
@@ -185,18 +169,18 @@
 // once instead of one after the other.
 func (d *deployment) stop() error {
 	for _, host := range d.hosts {
-		host.signal(syscall.SIGTERM)
+		host.Signal(syscall.SIGTERM)
 	}
 	for _, host := range d.hosts {
 		select {
 		case <-time.After(pollInterval):
-		case <-host.done:
+		case <-host.Done():
 		}
-		host.signal(syscall.SIGTERM)
+		host.Signal(syscall.SIGTERM)
 	}
 	for _, host := range append(d.hosts, d.standIn) {
 		if host == d.standIn {
-			host.signal(syscall.SIGTERM)
+			host.Signal(syscall.SIGTERM)
 		}
 		if err := host.await(); err != nil {
 			return err
@@ -211,8 +195,8 @@
 		return nil
 	}
 	select {
-	case <-p.done:
-		return eris.Wrap(p.err, p.name)
+	case <-p.Done():
+		return eris.Wrap(p.Err(), p.name)
 	case <-time.After(startTimeout):
 		return eris.Errorf("%s did not stop", p.name)
 	}
@@ -225,10 +209,10 @@
 			continue
 		}
 		select {
-		case <-started.done:
+		case <-started.Done():
 		default:
-			started.signal(syscall.SIGKILL)
-			<-started.done
+			started.Signal(syscall.SIGKILL)
+			<-started.Done()
 		}
 	}
 }
--- a/internal/dccommand/dcdemocommand/kill.go
+++ b/internal/dccommand/dcdemocommand/kill.go
@@ -58,9 +58,9 @@
 	case <-ctx.Done():
 	}
 	killed := d.hosts[killedHost%len(d.hosts)]
-	d.printf("killing %s, process %d\n", killed.name, killed.command.Process.Pid)
-	killed.signal(syscall.SIGKILL)
-	<-killed.done
+	d.printf("killing %s, process %d\n", killed.name, killed.Pid())
+	killed.Signal(syscall.SIGKILL)
+	<-killed.Done()
 	killed.ended = true
 	workers.Wait()
 	if err := d.settle(ctx, count); err != nil {
--- a/internal/dclocal/dclocal.go
+++ b/internal/dclocal/dclocal.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/rand"
 	"fmt"
 	"io"
 	"net"
@@ -22,11 +23,10 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/dandelioncart/dandelioncart/internal/dcauth"
+	"github.com/dandelioncart/dandelioncart/internal/dcprocess"
 	"github.com/dandelioncart/dandelioncart/internal/dcstandin"
 	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
 	standinv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/standin/v1"
-
-	"crypto/rand"
 )
 
 const (
@@ -56,7 +56,7 @@
 
 	profile *standinv1.Profile
 	ready   *standinv1.Ready
-	standin *process
+	standin *dcprocess.Process
 	hosts   []*host
 	digest  string
 	logs    []*os.File
@@ -71,7 +71,7 @@
 	callers  string
 	peers    string
 	settings string
-	process  *process
+	process  *dcprocess.Process
 	// held keeps the ports from other programs until the host starts.
 	held []net.Listener
 }
@@ -149,12 +149,12 @@
 		return err
 	}
 	reader, writer := io.Pipe()
-	d.standin, err = startProcess(filepath.Join(d.Binaries, "dandelioncart-standin"), []string{d.Profile}, writer, log)
+	d.standin, err = dcprocess.Start(filepath.Join(d.Binaries, "dandelioncart-standin"), []string{d.Profile}, writer, log)
 	if err != nil {
 		return err
 	}
 	go func() {
-		<-d.standin.done
+		<-d.standin.Done()
 		_ = writer.CloseWithError(io.ErrUnexpectedEOF)
 	}()
 	stop := context.AfterFunc(ctx, func() { _ = reader.CloseWithError(ctx.Err()) })
@@ -222,17 +222,17 @@
 		return err
 	}
 	host.letGo()
-	host.process, err = startProcess(filepath.Join(d.Binaries, "dandelioncart"),
+	host.process, err = dcprocess.Start(filepath.Join(d.Binaries, "dandelioncart"),
 		[]string{"serve", "--settings", host.settings}, log, log)
 	return err
 }
 
 // KillHost ends a host at once.
-func (d *Deployment) KillHost(index int) { d.hosts[index].process.kill() }
+func (d *Deployment) KillHost(index int) { d.hosts[index].process.Kill() }
 
 // StopHost stops a host gracefully and waits for it.
 func (d *Deployment) StopHost(ctx context.Context, index int) error {
-	return d.hosts[index].process.stop(ctx)
+	return d.hosts[index].process.Stop(ctx)
 }
 
 // WaitReady waits until a host takes requests.
@@ -241,7 +241,7 @@
 }
 
 // Pid returns the process id of a host.
-func (d *Deployment) Pid(index int) int { return d.hosts[index].process.pid() }
+func (d *Deployment) Pid(index int) int { return d.hosts[index].process.Pid() }
 
 // HostID returns the id of a host.
 func (d *Deployment) HostID(index int) string { return d.hosts[index].id }
@@ -258,12 +258,12 @@
 func (d *Deployment) Stop() {
 	for _, host := range d.hosts {
 		host.letGo()
-		if host.process != nil && !host.process.exited() {
-			host.process.kill()
+		if host.process != nil && !host.process.Exited() {
+			host.process.Kill()
 		}
 	}
-	if d.standin != nil && !d.standin.exited() {
-		d.standin.kill()
+	if d.standin != nil && !d.standin.Exited() {
+		d.standin.Kill()
 	}
 	for _, log := range d.logs {
 		_ = log.Close()
@@ -291,7 +291,7 @@
 
 func (d *Deployment) wait(ctx context.Context, host *host, path string) error {
 	for {
-		if host.process.exited() {
+		if host.process.Exited() {
 			return eris.Errorf("%s ended early, see its log in %s", host.id, d.Directory)
 		}
 		reply, err := d.call(ctx, http.MethodGet, "http://"+host.callers+path, nil)
--- a/internal/dclocal/revision.go
+++ b/internal/dclocal/revision.go
@@ -56,7 +56,7 @@
 }
 
 func (d *Deployment) waitRevision(ctx context.Context, host *host) error {
-	for !host.process.exited() {
+	for !host.process.Exited() {
 		reply, err := d.call(ctx, http.MethodGet, "http://"+host.callers+"/v1/config/revisions/latest", nil)
 		answer := &callerv1.ConfigResponse{}
 		if err == nil && protojson.Unmarshal(reply.body, answer) == nil && answer.GetRevision().GetRevision() >= d.revision {
