Count the time that a caller has waited before its request arrived

About half of the callers had 4 to 16 ms less of their time left than the others, because they had opened a connection first; after a failed first attempt it is more. A query was answered 12 ms before the target, counted from its arrival.

A route now keeps how long its last 32 callers still waited; what a caller has less than most of them was spent before, and the answer goes out that much sooner. A caller that cannot be answered in time any more is not hurried, and a few callers with longer times do not matter.

--- a/internal/dcengine/handle.go
+++ b/internal/dcengine/handle.go
@@ -23,11 +23,14 @@
 	// startWait is told to callers while no configuration is known.
 	startWait = 500 * time.Millisecond
 	// answerMargin is the part of the latency target that is kept for the way
-	// between caller and host: two crossings of some milliseconds, two more for
-	// a new connection, and timers that fire late. It is at most
-	// answerMarginShare of the target.
+	// between caller and host, two crossings of some milliseconds, and for timers
+	// that fire late. It is at most answerMarginShare of the target.
 	answerMargin      = 12 * time.Millisecond
 	answerMarginShare = 0.3
+	// leastAnswerShare is the part of the target that a host needs for an answer.
+	// A query whose caller has spent more before is not answered in a hurry, since
+	// its answer comes too late anyway.
+	leastAnswerShare = 0.25
 )
 
 // Reply is the final answer to a caller.
@@ -116,7 +119,8 @@
 	}
 	if len(route.Shards) > 0 {
 		rule.MinParts = route.MinParts()
-		rule.AnswerBy = request.Arrived.Add(answerTime(route.Target))
+		spent := state.spent(request.Deadline.Sub(request.Arrived))
+		rule.AnswerBy = request.Arrived.Add(answerTime(route.Target, spent))
 	}
 	r.plan = dcattempt.New(rule, len(r.services), r)
 	r.answers = make([]*dcforward.Answer, len(r.services))
@@ -124,9 +128,13 @@
 }
 
 // answerTime returns how long after its arrival a query is answered without
-// the shards that are missing.
-func answerTime(target time.Duration) time.Duration {
-	return target - min(answerMargin, time.Duration(float64(target)*answerMarginShare))
+// the shards that are missing. spent is how long its caller has waited before.
+func answerTime(target, spent time.Duration) time.Duration {
+	whole := target - min(answerMargin, time.Duration(float64(target)*answerMarginShare))
+	if rest := whole - spent; rest >= time.Duration(float64(target)*leastAnswerShare) {
+		return rest
+	}
+	return whole
 }
 
 // logReply reports a request that failed, was answered without all shards or
--- a/internal/dcengine/routes.go
+++ b/internal/dcengine/routes.go
@@ -1,6 +1,7 @@
 package dcengine
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,11 @@
 	// it would keep hedges late for long after servers were slow.
 	recentSpan  = 4 * time.Second
 	lastingSpan = 20 * time.Second
+	// leftSamples is the number of requests whose remaining time is kept. The one
+	// at fullTimeSample in rising order stands for a caller that has waited for
+	// nothing yet; a few callers that ask for more time do not matter.
+	leftSamples    = 32
+	fullTimeSample = 28
 )
 
 // routes holds what is learnt about each route, by name.
@@ -38,6 +44,10 @@
 	recent  *dcbudget.Latencies
 	lasting *dcbudget.Latencies
 	credit  map[dcid.ServiceName]float64
+	// lefts holds how long the callers of the last requests were still waiting,
+	// in a ring.
+	lefts    [leftSamples]time.Duration
+	requests int
 	// throttle refuses requests while servers are overloaded.
 	throttle dcadmission.Throttle
 }
@@ -98,6 +108,23 @@
 	return target / firstHedgeShare
 }
 
+// spent takes how long the caller of a request still waits, and returns how
+// long it has waited before: for a connection, or for an earlier attempt. Callers
+// of one route have the same time at first, so what most of them say at most
+// is that time. It returns 0 while too few requests are known.
+func (r *routeState) spent(left time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lefts[r.requests%leftSamples] = left
+	r.requests++
+	if r.requests < leftSamples {
+		return 0
+	}
+	sorted := r.lefts
+	slices.Sort(sorted[:])
+	return max(sorted[fullTimeSample]-left, 0)
+}
+
 // admit reports whether a request may run.
 func (r *routeState) admit(now time.Time) bool {
 	r.mu.Lock()
--- a/internal/dcengine/routes_test.go
+++ b/internal/dcengine/routes_test.go
@@ -38,3 +38,41 @@
 		}
 	}
 }
+
+// TestTimeSpentBefore guards against answers that reach their callers after the
+// target because the time before the request arrived was not counted, and
+// against a few callers with other budgets that change that for the rest.
+func TestTimeSpentBefore(t *testing.T) {
+	const (
+		full    = 500 * time.Millisecond
+		waited  = 15 * time.Millisecond
+		target  = 50 * time.Millisecond
+		patient = time.Minute
+	)
+	state := new(routes).get("r")
+	if got := state.spent(full - waited); got != 0 {
+		t.Errorf("nothing is known and %v were spent", got)
+	}
+	for i := range 2 * leftSamples {
+		left := full
+		switch {
+		case i%leftSamples < leftSamples/2:
+			left = full - waited
+		case i%leftSamples == leftSamples-1:
+			left = patient
+		}
+		state.spent(left)
+	}
+	for left, want := range map[time.Duration]time.Duration{full: 0, full - waited: waited, patient: 0, full / 2: full / 2} {
+		if got := state.spent(left); got != want {
+			t.Errorf("%v left: %v spent, want %v", left, got, want)
+		}
+	}
+	calm := answerTime(target, 0)
+	if got := answerTime(target, waited); got != calm-waited {
+		t.Errorf("answer after %v, without a wait after %v", got, calm)
+	}
+	if got := answerTime(target, full); got != calm {
+		t.Errorf("an answer that is late anyway is given after %v", got)
+	}
+}
