Open fewer connections after a loss of power, and let first sends wait for room

A host that finds its own record from an earlier process that did not leave takes half of its share of connections for 12 s. The first send of a part waits for room until the answer is due, if other parts were sent.

--- a/internal/dcattempt/dcattempt.go
+++ b/internal/dcattempt/dcattempt.go
@@ -214,7 +214,11 @@
 		use, ok = p.servers.Pick(index, nil, extra, now)
 	}
 	if !ok {
-		part.refused++
+		// A first send waits for room while an answer without the part is not
+		// due, if other parts have cost their servers work already.
+		if extra || !now.Before(p.AnswerBy) || !p.MayHaveRun() {
+			part.refused++
+		}
 		if part.refused > p.MaxAttempts+refusedTries {
 			if len(part.running) == 0 {
 				p.settle(part, dead)
--- a/internal/dcattempt/dcattempt_test.go
+++ b/internal/dcattempt/dcattempt_test.go
@@ -166,3 +166,38 @@
 		t.Errorf("done after %v, may have run %t", now.Sub(start), plan.MayHaveRun())
 	}
 }
+
+// TestFirstSendWaitsForRoom guards against a query that fails because one part
+// found no room for a moment, although all others are answered, and against
+// one that waits although no part has room.
+func TestFirstSendWaitsForRoom(t *testing.T) {
+	r := rule()
+	r.MinParts, r.HedgeDelay = 2, 0
+	r.AnswerBy = start.Add(200 * time.Millisecond)
+	for _, room := range []bool{true, false} {
+		servers := &fakeServers{down: !room}
+		plan := New(r, 2, servers)
+		sends := plan.Start(start)
+		now := start
+		if room {
+			// Only the second part is still to be sent.
+			plan.parts[1] = part{retryAt: start}
+			plan.Ended(sends[0], dcbalance.Answered, start)
+			servers.down = true
+		}
+		for !plan.Done(now) && now.Before(r.AnswerBy.Add(-2*retryPause)) {
+			now = plan.Next(now)
+			plan.Tick(now)
+		}
+		if plan.Done(now) == room {
+			t.Errorf("other parts answered %v: done %v after %v", room, plan.Done(now), now.Sub(start))
+		}
+		if !room {
+			continue
+		}
+		servers.down = false
+		if late := plan.Tick(plan.Next(now)); len(late) != 1 || late[0].Part != 1 || late[0].Extra {
+			t.Errorf("sends once there is room: %v", late)
+		}
+	}
+}
--- a/internal/dcengine/dcengine.go
+++ b/internal/dcengine/dcengine.go
@@ -33,6 +33,9 @@
 type Hosts interface {
 	// Count returns the number of hosts, 0 while unknown.
 	Count() int
+	// Leftover reports whether servers may still hold connections of an earlier
+	// process of this host.
+	Leftover() bool
 }
 
 // ExtraLoad bounds the extra sends to each service, in sum over all hosts.
@@ -120,7 +123,11 @@
 	if hosts == 0 {
 		hosts = unknownHosts
 	}
-	service.limit(max(configured.MaxConnections/(hosts+1), 1), e.Connections)
+	share := configured.MaxConnections / (hosts + 1)
+	if e.Hosts.Leftover() {
+		share /= leftoverDivisor
+	}
+	service.limit(max(share, 1), e.Connections)
 }
 
 // SetExtraLoad changes the bound on extra sends.
@@ -135,6 +142,11 @@
 	}
 }
 
+// leftoverDivisor lowers the share of a host while servers may still count the
+// connections that it had before it lost power. They reset those above their
+// limit, which is most of the new ones when all hosts lose power at once.
+const leftoverDivisor = 2
+
 // unknownHosts is the number of hosts assumed while none are known. It keeps
 // the connections of a host low until it knows its peers.
 const unknownHosts = 7
--- a/internal/dcengine/dcengine_test.go
+++ b/internal/dcengine/dcengine_test.go
@@ -52,6 +52,8 @@
 
 func (h hosts) Count() int { return int(h) }
 
+func (h hosts) Leftover() bool { return false }
+
 func answered(server dcid.ServerID) dcforward.Answer {
 	return dcforward.Answer{Outcome: dcbalance.Answered, Status: http.StatusOK, Proof: "p-" + string(server), Body: fmt.Appendf(nil, "%-16s", server)}
 }
@@ -307,3 +309,28 @@
 		t.Errorf("lines %+v", entries)
 	}
 }
+
+// leftoverHosts are two hosts, and connections of an earlier process.
+type leftoverHosts struct{ hosts }
+
+func (leftoverHosts) Leftover() bool { return true }
+
+// shares records the limits of connections.
+type shares struct{ last atomic.Int64 }
+
+func (s *shares) SetLimit(_ dcid.ServerAddr, limit int) { s.last.Store(int64(limit)) }
+
+// TestConnectionShare guards against connections above the limit of a server,
+// which resets them, while it still counts those of an earlier process.
+func TestConnectionShare(t *testing.T) {
+	engine := newEngine(t, &fakeSender{})
+	var shares shares
+	engine.Connections = &shares
+	engine.LimitConnections()
+	whole := shares.last.Load()
+	engine.Hosts = leftoverHosts{2}
+	engine.LimitConnections()
+	if reduced := shares.last.Load(); whole != 40/3 || reduced < 1 || reduced > whole/2 {
+		t.Errorf("share of %d connections, %d with those of an earlier process", whole, reduced)
+	}
+}
--- a/internal/dcroster/dcroster.go
+++ b/internal/dcroster/dcroster.go
@@ -29,6 +29,9 @@
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 200 * time.Millisecond
 	maxBackoff   = time.Second
+	// leftoverTime is how long servers may keep the connections of a host that
+	// has lost power. They close them once they have been idle for some seconds.
+	leftoverTime = 12 * time.Second
 	// callTimeout bounds one call to the store.
 	callTimeout = time.Second
 )
@@ -54,6 +57,11 @@
 	leaving  bool
 	revision dcstore.Revision
 	missing  bool
+	// wrote is set once this process has written its record.
+	wrote bool
+	// replaced is the time at which this process found that an earlier one of
+	// the same host had ended without leaving, zero when there was none.
+	replaced time.Time
 	wake     chan struct{}
 	once     sync.Once
 
@@ -106,14 +114,37 @@
 		return
 	}
 	if host.GetHostId() == r.Self.GetHostId() {
-		r.mu.Lock()
-		r.revision, r.missing = max(r.revision, record.Modified), false
-		r.mu.Unlock()
+		r.putSelf(record.Modified, host.GetState())
 		return
 	}
 	r.update(host, true)
 }
 
+// putSelf takes the record of this host. Before this process has written it, it
+// is that of an earlier one.
+func (r *Roster) putSelf(revision dcstore.Revision, state hostv1.State) {
+	r.mu.Lock()
+	r.revision, r.missing = max(r.revision, revision), false
+	found := !r.wrote && r.replaced.IsZero() && state == hostv1.State_STATE_SERVING
+	if found {
+		r.replaced = r.Clock.Now()
+	}
+	r.mu.Unlock()
+	if found {
+		r.Log.Info("earlier process of this host ended without leaving", zap.Int64("revision", int64(revision)))
+		r.Clock.AfterFunc(leftoverTime, r.changed)
+		r.changed()
+	}
+}
+
+// Leftover reports whether servers may still hold connections of an earlier
+// process of this host.
+func (r *Roster) Leftover() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.replaced.IsZero() && r.Clock.Since(r.replaced) < leftoverTime
+}
+
 // Seen takes the record of another host from that host itself.
 func (r *Roster) Seen(host *hostv1.Record) { r.update(host, false) }
 
@@ -304,7 +335,7 @@
 		return err
 	}
 	r.mu.Lock()
-	r.revision, r.missing = max(r.revision, revision), false
+	r.revision, r.missing, r.wrote = max(r.revision, revision), false, true
 	r.mu.Unlock()
 	r.written = state
 	r.Log.Info("host record written", zap.String("state", state.String()), zap.Int64("revision", int64(revision)))
--- a/internal/dcroster/dcroster_test.go
+++ b/internal/dcroster/dcroster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -97,3 +98,42 @@
 		t.Error(err)
 	}
 }
+
+// TestLeftover guards against a host that takes its whole share of connections
+// while servers still count those that it had before it lost power, against one
+// that never takes it again, and against one that takes less after a planned
+// stop or because of its own record.
+func TestLeftover(t *testing.T) {
+	for name, c := range map[string]struct {
+		state    hostv1.State
+		wrote    bool
+		leftover bool
+	}{
+		"lost power":   {hostv1.State_STATE_SERVING, false, true},
+		"planned stop": {hostv1.State_STATE_LEAVING, false, false},
+		"own record":   {hostv1.State_STATE_SERVING, true, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			clock := clockwork.NewRealClock()
+			roster := newRoster(clock, dcstore.NewFake(clock))
+			var changes atomic.Int64
+			roster.Changed = func() { changes.Add(1) }
+			if c.wrote {
+				if err := roster.step(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for range 2 {
+				roster.Put(stored(t, host("h1", c.state)))
+				if got := roster.Leftover(); got != c.leftover {
+					t.Errorf("%s: leftover %v", name, got)
+				}
+			}
+			time.Sleep(leftoverTime)
+			synctest.Wait()
+			if want := map[bool]int64{true: 2, false: 0}[c.leftover]; roster.Leftover() || changes.Load() != want {
+				t.Errorf("%s: leftover %v and %d changes after %v", name, roster.Leftover(), changes.Load(), leftoverTime)
+			}
+		})
+	}
+}
