Count only failures for want of servers as overload

A request that one server refused and another one ran and failed counted for the throttle, so that a faulty release could have refused the route's other requests.

--- a/internal/dcengine/handle.go
+++ b/internal/dcengine/handle.go
@@ -81,12 +81,18 @@
 		return refusal(dcreason.Overloaded), run
 	}
 	reply := run.run(ctx)
-	if run.refused > 0 && reply.Code != dcreason.OK && reply.Code != dcreason.Cancelled {
+	if run.refused > 0 && failedByRefusals(reply.Code) {
 		run.state.overloaded(e.Clock.Now())
 	}
 	return reply, run
 }
 
+// failedByRefusals reports whether a request with refused sends failed for want
+// of servers, not because one that ran it failed or its caller left.
+func failedByRefusals(code dcreason.Code) bool {
+	return code == dcreason.UpstreamShed || code == dcreason.CoverageIncomplete || code == dcreason.DeadlineExceeded
+}
+
 func refusal(code dcreason.Code) Reply {
 	return Reply{Status: http.StatusServiceUnavailable, Code: code, RetryAfter: refusalWait}
 }
--- a/internal/dcengine/overload_test.go
+++ b/internal/dcengine/overload_test.go
@@ -64,3 +64,24 @@
 		})
 	}
 }
+
+// TestFailuresAreNoOverload guards against refusals of a route whose requests
+// fail at the servers that run them, because others refused them first.
+func TestFailuresAreNoOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sender := &fakeSender{answer: func(_ context.Context, server dcid.ServerID, count int) dcforward.Answer {
+			if count%2 == 1 {
+				return dcforward.Answer{Outcome: dcbalance.Refused, Status: http.StatusServiceUnavailable}
+			}
+			return dcforward.Answer{Outcome: dcbalance.Failed, Status: http.StatusInternalServerError, Proof: "p"}
+		}}
+		engine := newEngine(t, sender)
+		// Few enough for the budget of extra sends.
+		for range 15 {
+			if reply := engine.Handle(t.Context(), request(engine, "/unsafe/x")); reply.Code != dcreason.UpstreamError {
+				t.Fatalf("reply %+v", reply)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+}
--- a/internal/dcmirror/dcmirror.go
+++ b/internal/dcmirror/dcmirror.go
@@ -28,9 +28,9 @@
 	defaultMaxGather = 800 * time.Millisecond
 	// watchLimit ends a watch without an answer. Its connection can fall silent,
 	// and probes do not always show that, because what they read may be seconds
-	// old. A limit and a call after it pass within the platform's stability window
-	// of four seconds, after which the bounds on configurations and leaving
-	// servers hold again.
+	// old. The pause before it, the limit and a call after it pass within the
+	// platform's stability window of four seconds, after which the bounds on
+	// configurations and leaving servers hold again.
 	watchLimit = 2700 * time.Millisecond
 	// probeInterval is the time between probes, which find a service that does
 	// not answer earlier than the limit of a watch.
