--- a/internal/dcengine/dcengine_test.go
+++ b/internal/dcengine/dcengine_test.go
@@ -334,3 +334,32 @@
 		t.Errorf("share of %d connections, %d with those of an earlier process", whole, reduced)
 	}
 }
+
+// TestSplitPartWithoutServers guards against requests of a part of a split that
+// are moved to another part while it has no servers, and against parts that get
+// less than their share because of it.
+func TestSplitPartWithoutServers(t *testing.T) {
+	sent := map[string]int{}
+	sender := &fakeSender{}
+	sender.answer = func(_ context.Context, server dcid.ServerID, _ int) dcforward.Answer { return answered(server) }
+	engine := newEngine(t, sender)
+	route := dcroute.Route{
+		Name: "split", Host: "a", Prefix: "/split/", Timeout: time.Second, Target: time.Second, MaxAttempts: 2,
+		Split: []dcroute.Share{{Service: "p1", Weight: 70}, {Service: "none", Weight: 30}},
+	}
+	table, err := dcroute.NewTable(dcroute.Configuration{Version: 6, Routes: []dcroute.Route{route}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	engine.Adopt(table)
+	for range 100 {
+		reply := engine.Handle(t.Context(), request(engine, "/split/x"))
+		sent[string(reply.Code)]++
+		if reply.Code == dcreason.NoServer && (reply.Status != http.StatusServiceUnavailable || reply.RetryAfter <= 0) {
+			t.Errorf("refusal %+v", reply)
+		}
+	}
+	if sent[string(dcreason.OK)] != 70 || sent[string(dcreason.NoServer)] != 30 || sender.count() != 70 {
+		t.Errorf("replies %v, %d sends", sent, sender.count())
+	}
+}
