--- a/internal/dcsettings/configuration.go
+++ b/internal/dcsettings/configuration.go
@@ -3,9 +3,8 @@
 import (
 	"fmt"
 
-	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
-
 	"github.com/dandelioncart/dandelioncart/internal/dcdocument"
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
 )
 
 // Values of kind, coverage and stale-configuration rule, and of objectives.
--- a/internal/dcsettings/group.go
+++ b/internal/dcsettings/group.go
@@ -5,9 +5,8 @@
 	"slices"
 	"time"
 
-	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
-
 	"github.com/dandelioncart/dandelioncart/internal/dcdocument"
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
 )
 
 const (
--- a/internal/dcsettings/host.go
+++ b/internal/dcsettings/host.go
@@ -7,9 +7,8 @@
 	"time"
 
 	"github.com/dandelioncart/dandelioncart/internal/dcauth"
-	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
-
 	"github.com/dandelioncart/dandelioncart/internal/dcdocument"
+	settingsv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/settings/v1"
 )
 
 func checkHost(check *reader, settings *settingsv1.HostSettings) {
