Keep latencies only of routes with more than a few requests

A histogram of latencies takes some 90 KB, and each route that was asked once had two. Probes ask many routes of a large configuration a few times each.

--- a/internal/dcengine/routes.go
+++ b/internal/dcengine/routes.go
@@ -24,6 +24,10 @@
 	// it would keep hedges late for long after servers were slow.
 	recentSpan  = 4 * time.Second
 	lastingSpan = 20 * time.Second
+	// unrecorded is the number of answers of a route whose latencies are not
+	// kept. The histograms of a route take some 180 KB, and most routes of a large
+	// configuration get only a few requests.
+	unrecorded = 16
 	// leftSamples is the number of requests whose remaining time is kept. The one
 	// at fullTimeSample in rising order stands for a caller that has waited for
 	// nothing yet; a few callers that ask for more time do not matter.
@@ -40,7 +44,10 @@
 // routeState holds the latencies of one route at its servers, the position in
 // its split and how many of its requests fail.
 type routeState struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// answers counts the answers up to unrecorded. recent and lasting are nil
+	// until then.
+	answers int
 	recent  *dcbudget.Latencies
 	lasting *dcbudget.Latencies
 	credit  map[dcid.ServiceName]float64
@@ -60,11 +67,7 @@
 		if r.byName == nil {
 			r.byName = make(map[dcid.RouteName]*routeState)
 		}
-		found = &routeState{
-			recent:  dcbudget.NewLatencies(recentSpan, medianQuantile, hedgeQuantile),
-			lasting: dcbudget.NewLatencies(lastingSpan, medianQuantile, hedgeQuantile),
-			credit:  make(map[dcid.ServiceName]float64),
-		}
+		found = &routeState{credit: make(map[dcid.ServiceName]float64)}
 		r.byName[name] = found
 	}
 	return found
@@ -74,6 +77,14 @@
 func (r *routeState) record(latency time.Duration, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.answers < unrecorded {
+		r.answers++
+		return
+	}
+	if r.recent == nil {
+		r.recent = dcbudget.NewLatencies(recentSpan, medianQuantile, hedgeQuantile)
+		r.lasting = dcbudget.NewLatencies(lastingSpan, medianQuantile, hedgeQuantile)
+	}
 	r.recent.Record(latency, now)
 	r.lasting.Record(latency, now)
 }
@@ -88,6 +99,9 @@
 func (r *routeState) quantile(index int, now time.Time) (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.recent == nil {
+		return 0, false
+	}
 	if value, ok := r.recent.Quantile(index, now); ok {
 		return value, true
 	}
--- a/internal/dcengine/routes_test.go
+++ b/internal/dcengine/routes_test.go
@@ -76,3 +76,20 @@
 		t.Errorf("an answer that is late anyway is given after %v", got)
 	}
 }
+
+// TestFewRequests guards against memory for the latencies of each of the many
+// routes that get only a few requests.
+func TestFewRequests(t *testing.T) {
+	state := new(routes).get("r")
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	allocated := testing.AllocsPerRun(1, func() {
+		for range unrecorded / 2 {
+			state.record(time.Millisecond, now)
+		}
+		state.hedgeDelay(time.Second, now)
+		state.usualLatency(now)
+	})
+	if allocated > 0 {
+		t.Errorf("%v allocations for a route with few requests", allocated)
+	}
+}
