Let fake time wait for the loops of the hosts in tests

Cause of the hang of TestEachSignalStopsNewWork/silence: the tier moved its fake clock on after at most 10 ms, whether the loops of the hosts had woken or not, and always took the 10 ms here, because polls of the silenced server wait for that same clock. When the machine is slow, the loops fall behind, the silence is noticed after the 3 s that the test allows, and the query that then goes to the frozen server waits for a clock that nobody moves.

The clock of each host now tells whether a timer has fired that its loop has not seen, and whether a woken loop has not gone to sleep; tasks that wait for time in a known place do not count. The tier waits for that.

--- a/internal/dchost/leaving_test.go
+++ b/internal/dchost/leaving_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,8 @@
 	sent map[int]map[dcid.ServerAddr]int
 	// silent are the servers whose status gets no answer.
 	silent map[dcid.ServerAddr]bool
+	// polls is the number of polls that wait for such an answer.
+	polls atomic.Int64
 }
 
 func newWorkLog() *workLog {
@@ -71,6 +74,8 @@
 	silent := u.work.silent[server]
 	u.work.mu.Unlock()
 	if silent {
+		u.work.polls.Add(1)
+		defer u.work.polls.Add(-1)
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -82,11 +87,15 @@
 func newLeavingTier(t *testing.T, hosts int) (*tier, *workLog) {
 	t.Helper()
 	work := newWorkLog()
-	return newTierWith(t, hosts, func(r *tier, number int, host *Host) {
+	tier := newTierWith(t, hosts, func(r *tier, number int, host *Host) {
 		host.Upstream = &recordingUpstream{Client: host.Upstream.(*dcupstream.Client), work: work, host: number}
 		host.HostList = r.fleet.Platform.Hosts
 		host.Settings.HostList = &settingsv1.HostListSettings{Interval: durationpb.New(time.Second)}
-	}), work
+	})
+	// All tasks that wait for time are known, so time never runs ahead of the
+	// hosts, however slow the machine is.
+	tier.waiting, tier.maxSettle = work.polls.Load, time.Minute
+	return tier, work
 }
 
 // pass lets time pass.
--- /dev/null
+++ b/internal/dchost/loopclock_test.go
@@ -0,0 +1,98 @@
+package dchost
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// loopClock is the fake clock of one host. It tells whether the host's loops
+// have caught up with it: each waits with a timer of its own, which it stops
+// when it wakes. Timers that are reset belong to requests and do not count.
+type loopClock struct {
+	*clockwork.FakeClock
+
+	mu     sync.Mutex
+	timers map[*loopTimer]bool
+	// awake is the number of loops that have woken and not gone to sleep again.
+	awake int
+	// delays are the times at which tasks that wait in After go on.
+	delays []time.Time
+}
+
+type loopTimer struct {
+	clockwork.Timer
+	clock *loopClock
+	due   time.Time
+}
+
+func newLoopClock(clock *clockwork.FakeClock) *loopClock {
+	return &loopClock{FakeClock: clock, timers: make(map[*loopTimer]bool)}
+}
+
+// NewTimer implements clockwork.Clock.
+func (c *loopClock) NewTimer(wait time.Duration) clockwork.Timer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	timer := &loopTimer{Timer: c.FakeClock.NewTimer(wait), clock: c, due: c.Now().Add(wait)}
+	c.timers[timer] = true
+	c.awake = max(c.awake-1, 0)
+	return timer
+}
+
+// After implements clockwork.Clock.
+func (c *loopClock) After(wait time.Duration) <-chan time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.delays = append(c.delays, c.Now().Add(wait))
+	return c.FakeClock.After(wait)
+}
+
+// Stop implements clockwork.Timer.
+func (t *loopTimer) Stop() bool {
+	t.clock.mu.Lock()
+	defer t.clock.mu.Unlock()
+	if t.clock.timers[t] && !t.due.After(t.clock.Now()) {
+		t.clock.awake++
+	}
+	delete(t.clock.timers, t)
+	return t.Timer.Stop()
+}
+
+// Reset implements clockwork.Timer.
+func (t *loopTimer) Reset(wait time.Duration) bool {
+	t.clock.mu.Lock()
+	defer t.clock.mu.Unlock()
+	delete(t.clock.timers, t)
+	return t.Timer.Reset(wait)
+}
+
+// busy reports whether a loop has still to wake, or has not gone to sleep.
+func (c *loopClock) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.awake > 0 {
+		return true
+	}
+	now := c.Now()
+	for timer := range c.timers {
+		if !timer.due.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// delayed returns the number of tasks that wait in After.
+func (c *loopClock) delayed() (count int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Now()
+	for _, until := range c.delays {
+		if until.After(now) {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/dchost/tier_test.go
+++ b/internal/dchost/tier_test.go
@@ -47,7 +47,8 @@
 	testShards     = 6
 	clockStep      = 25 * time.Millisecond
 	maxSteps       = 4000
-	// minSettle lets the loops see their timers, maxSettle their work end.
+	// minSettle lets the loops see their timers, maxSettle their work end unless
+	// a tier sets its own.
 	minSettle = time.Millisecond
 	maxSettle = 10 * time.Millisecond
 )
@@ -60,10 +61,16 @@
 	fleet   *dcstandin.Fleet
 	network *dcpeer.Network
 	hosts   []*Host
+	loops   []*loopClock
 	stops   []context.CancelFunc
 	ended   []chan error
 	client  *http.Client
 	logs    *logBuffer
+	// waiting returns the number of background tasks that wait for time; nil for
+	// unknown.
+	waiting func() int64
+	// maxSettle bounds the wait for background work before time goes on.
+	maxSettle time.Duration
 	// edges may replace the edges of a host before it runs; nil for none.
 	edges func(r *tier, number int, host *Host)
 }
@@ -113,7 +120,7 @@
 	if err := fleet.Start(); err != nil {
 		t.Fatal(err)
 	}
-	tier := &tier{t: t, clock: clock, fleet: fleet, network: dcpeer.NewNetwork(), logs: &logBuffer{}, client: &http.Client{Transport: &http.Transport{}}, edges: edges}
+	tier := &tier{t: t, clock: clock, fleet: fleet, network: dcpeer.NewNetwork(), logs: &logBuffer{}, maxSettle: maxSettle, client: &http.Client{Transport: &http.Transport{}}, edges: edges}
 	for i := range hosts {
 		tier.startHost(i)
 	}
@@ -146,7 +153,9 @@
 		host.Settings.SeedPeers = []string{r.hosts[0].PeerListener.Addr().String()}
 	}
 	upstream := &dcupstream.Client{Pool: dcconnpool.Pool{Clock: r.clock}}
-	host.Store, host.Upstream, host.Clock, host.Log = r.fleet.Platform.Store, upstream, r.clock, r.logs.logger()
+	loops := newLoopClock(r.clock)
+	r.loops = append(r.loops, loops)
+	host.Store, host.Upstream, host.Clock, host.Log = r.fleet.Platform.Store, upstream, loops, r.logs.logger()
 	host.Random, host.Seed = rand.New(rand.NewSource(int64(number))), uint64(number)
 	if r.edges != nil {
 		r.edges(r, number, host)
@@ -166,6 +175,8 @@
 }
 
 func (r *tier) close() {
+	// A loop that ends looks like one that stays awake.
+	r.maxSettle = maxSettle
 	for i, host := range r.hosts {
 		host.StopNow()
 		r.stops[i]()
@@ -197,7 +208,7 @@
 // the hosts had run once.
 func (r *tier) settle() {
 	start := time.Now()
-	for elapsed := time.Duration(0); elapsed < maxSettle; elapsed = time.Since(start) {
+	for elapsed := time.Duration(0); elapsed < r.maxSettle; elapsed = time.Since(start) {
 		if elapsed >= minSettle && !r.working() {
 			return
 		}
@@ -205,13 +216,20 @@
 	}
 }
 
+// working reports whether a loop has not caught up with the clock, or a
+// background task runs that is not known to wait for time.
 func (r *tier) working() bool {
-	for _, host := range r.hosts {
-		if host.tasks.running.Load() > 0 {
+	var running int64
+	for i, host := range r.hosts {
+		if r.loops[i].busy() {
 			return true
 		}
+		running += host.tasks.running.Load() - r.loops[i].delayed()
+	}
+	if r.waiting != nil {
+		running -= r.waiting()
 	}
-	return false
+	return running > 0
 }
 
 func (r *tier) awaitEnd(ended chan error) {
