--- a/internal/dcengine/dcengine.go
+++ b/internal/dcengine/dcengine.go
@@ -33,9 +33,9 @@
 type Hosts interface {
 	// Count returns the number of hosts, 0 while unknown.
 	Count() int
-	// Leftover reports whether servers may still hold connections of an earlier
-	// process of this host.
-	Leftover() bool
+	// StaleConnections reports whether servers may still hold connections of an
+	// earlier process of this host.
+	StaleConnections() bool
 }
 
 // ExtraLoad bounds the extra sends to each service, in sum over all hosts.
@@ -124,8 +124,8 @@
 		hosts = unknownHosts
 	}
 	share := configured.MaxConnections / (hosts + 1)
-	if e.Hosts.Leftover() {
-		share /= leftoverDivisor
+	if e.Hosts.StaleConnections() {
+		share /= staleDivisor
 	}
 	service.limit(max(share, 1), e.Connections)
 }
@@ -142,10 +142,10 @@
 	}
 }
 
-// leftoverDivisor lowers the share of a host while servers may still count the
+// staleDivisor lowers the share of a host while servers may still count the
 // connections that it had before it lost power. They reset those above their
 // limit, which is most of the new ones when all hosts lose power at once.
-const leftoverDivisor = 2
+const staleDivisor = 2
 
 // unknownHosts is the number of hosts assumed while none are known. It keeps
 // the connections of a host low until it knows its peers.
--- a/internal/dcengine/dcengine_test.go
+++ b/internal/dcengine/dcengine_test.go
@@ -52,7 +52,7 @@
 
 func (h hosts) Count() int { return int(h) }
 
-func (h hosts) Leftover() bool { return false }
+func (h hosts) StaleConnections() bool { return false }
 
 func answered(server dcid.ServerID) dcforward.Answer {
 	return dcforward.Answer{Outcome: dcbalance.Answered, Status: http.StatusOK, Proof: "p-" + string(server), Body: fmt.Appendf(nil, "%-16s", server)}
@@ -310,10 +310,10 @@
 	}
 }
 
-// leftoverHosts are two hosts, and connections of an earlier process.
-type leftoverHosts struct{ hosts }
+// staleHosts are two hosts, and connections of an earlier process.
+type staleHosts struct{ hosts }
 
-func (leftoverHosts) Leftover() bool { return true }
+func (staleHosts) StaleConnections() bool { return true }
 
 // shares records the limits of connections.
 type shares struct{ last atomic.Int64 }
@@ -328,7 +328,7 @@
 	engine.Connections = &shares
 	engine.LimitConnections()
 	whole := shares.last.Load()
-	engine.Hosts = leftoverHosts{2}
+	engine.Hosts = staleHosts{2}
 	engine.LimitConnections()
 	if reduced := shares.last.Load(); whole != 40/3 || reduced < 1 || reduced > whole/2 {
 		t.Errorf("share of %d connections, %d with those of an earlier process", whole, reduced)
--- a/internal/dcengine/routes.go
+++ b/internal/dcengine/routes.go
@@ -28,11 +28,11 @@
 	// kept. The histograms of a route take some 180 KB, and most routes of a large
 	// configuration get only a few requests.
 	unrecorded = 16
-	// leftSamples is the number of requests whose remaining time is kept. The one
-	// at fullTimeSample in rising order stands for a caller that has waited for
-	// nothing yet; a few callers that ask for more time do not matter.
-	leftSamples    = 32
-	fullTimeSample = 28
+	// remainingSamples is the number of requests whose remaining time is kept.
+	// The one at fullTimeIndex in rising order stands for a caller that has waited
+	// for nothing yet; a few callers that ask for more time do not matter.
+	remainingSamples = 32
+	fullTimeIndex    = 28
 )
 
 // routes holds what is learnt about each route, by name.
@@ -51,10 +51,10 @@
 	recent  *dcbudget.Latencies
 	lasting *dcbudget.Latencies
 	credit  map[dcid.ServiceName]float64
-	// lefts holds how long the callers of the last requests were still waiting,
-	// in a ring.
-	lefts    [leftSamples]time.Duration
-	requests int
+	// remaining holds how long the callers of the last requests were still
+	// waiting, in a ring.
+	remaining [remainingSamples]time.Duration
+	requests  int
 	// throttle refuses requests while servers are overloaded.
 	throttle dcadmission.Throttle
 }
@@ -129,14 +129,14 @@
 func (r *routeState) spent(left time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lefts[r.requests%leftSamples] = left
+	r.remaining[r.requests%remainingSamples] = left
 	r.requests++
-	if r.requests < leftSamples {
+	if r.requests < remainingSamples {
 		return 0
 	}
-	sorted := r.lefts
+	sorted := r.remaining
 	slices.Sort(sorted[:])
-	return max(sorted[fullTimeSample]-left, 0)
+	return max(sorted[fullTimeIndex]-left, 0)
 }
 
 // admit reports whether a request may run.
--- a/internal/dcengine/routes_test.go
+++ b/internal/dcengine/routes_test.go
@@ -53,12 +53,12 @@
 	if got := state.spent(full - waited); got != 0 {
 		t.Errorf("nothing is known and %v were spent", got)
 	}
-	for i := range 2 * leftSamples {
+	for i := range 2 * remainingSamples {
 		left := full
 		switch {
-		case i%leftSamples < leftSamples/2:
+		case i%remainingSamples < remainingSamples/2:
 			left = full - waited
-		case i%leftSamples == leftSamples-1:
+		case i%remainingSamples == remainingSamples-1:
 			left = patient
 		}
 		state.spent(left)
--- a/internal/dcroster/dcroster.go
+++ b/internal/dcroster/dcroster.go
@@ -29,9 +29,9 @@
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 200 * time.Millisecond
 	maxBackoff   = time.Second
-	// leftoverTime is how long servers may keep the connections of a host that
+	// staleTime is how long servers may keep the connections of a host that
 	// has lost power. They close them once they have been idle for some seconds.
-	leftoverTime = 12 * time.Second
+	staleTime = 12 * time.Second
 	// callTimeout bounds one call to the store.
 	callTimeout = time.Second
 )
@@ -132,17 +132,17 @@
 	r.mu.Unlock()
 	if found {
 		r.Log.Info("earlier process of this host ended without leaving", zap.Int64("revision", int64(revision)))
-		r.Clock.AfterFunc(leftoverTime, r.changed)
+		r.Clock.AfterFunc(staleTime, r.changed)
 		r.changed()
 	}
 }
 
-// Leftover reports whether servers may still hold connections of an earlier
-// process of this host.
-func (r *Roster) Leftover() bool {
+// StaleConnections reports whether servers may still hold connections of an
+// earlier process of this host.
+func (r *Roster) StaleConnections() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.replaced.IsZero() && r.Clock.Since(r.replaced) < leftoverTime
+	return !r.replaced.IsZero() && r.Clock.Since(r.replaced) < staleTime
 }
 
 // Seen takes the record of another host from that host itself.
--- a/internal/dcroster/dcroster_test.go
+++ b/internal/dcroster/dcroster_test.go
@@ -99,15 +99,15 @@
 	}
 }
 
-// TestLeftover guards against a host that takes its whole share of connections
-// while servers still count those that it had before it lost power, against one
+// TestStaleConnections guards against a host that takes its whole share of
+// connections while servers still count those that it had before it lost power, against one
 // that never takes it again, and against one that takes less after a planned
 // stop or because of its own record.
-func TestLeftover(t *testing.T) {
+func TestStaleConnections(t *testing.T) {
 	for name, c := range map[string]struct {
-		state    hostv1.State
-		wrote    bool
-		leftover bool
+		state hostv1.State
+		wrote bool
+		stale bool
 	}{
 		"lost power":   {hostv1.State_STATE_SERVING, false, true},
 		"planned stop": {hostv1.State_STATE_LEAVING, false, false},
@@ -125,14 +125,14 @@
 			}
 			for range 2 {
 				roster.Put(stored(t, host("h1", c.state)))
-				if got := roster.Leftover(); got != c.leftover {
-					t.Errorf("%s: leftover %v", name, got)
+				if got := roster.StaleConnections(); got != c.stale {
+					t.Errorf("%s: stale connections %v", name, got)
 				}
 			}
-			time.Sleep(leftoverTime)
+			time.Sleep(staleTime)
 			synctest.Wait()
-			if want := map[bool]int64{true: 2, false: 0}[c.leftover]; roster.Leftover() || changes.Load() != want {
-				t.Errorf("%s: leftover %v and %d changes after %v", name, roster.Leftover(), changes.Load(), leftoverTime)
+			if want := map[bool]int64{true: 2, false: 0}[c.stale]; roster.StaleConnections() || changes.Load() != want {
+				t.Errorf("%s: stale connections %v and %d changes after %v", name, roster.StaleConnections(), changes.Load(), staleTime)
 			}
 		})
 	}
