--- a/internal/dcroster/dcroster_test.go
+++ b/internal/dcroster/dcroster_test.go
@@ -100,9 +100,9 @@
 }
 
 // TestStaleConnections guards against a host that takes its whole share of
-// connections while servers still count those that it had before it lost power, against one
-// that never takes it again, and against one that takes less after a planned
-// stop or because of its own record.
+// connections while servers still count those that it had before it lost power,
+// against one that never takes it again, and against one that takes less after a
+// planned stop or because of its own record.
 func TestStaleConnections(t *testing.T) {
 	for name, c := range map[string]struct {
 		state hostv1.State
