Bound the extra sends of all hosts while requests move between hosts

Cause: each host allowed extras by the requests of its own last span. When a host is cut off from its callers at 3.5 s, the requests before the cut are still used there while the same load is used once more by the hosts that receive it afterwards. The slack is divided by Roster.Sharers, which counts hosts whose lease expired for 30 s; a host without a confirmed lease for 30 s, by the monotonic clock or by the time of day, uses none. The check of TestWindowBound now looks at each window that begins with an extra send, in place of one each 170 ms.

--- a/internal/dcbudget/window_test.go
+++ b/internal/dcbudget/window_test.go
@@ -1,7 +1,9 @@
 package dcbudget
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -42,26 +44,152 @@
 			extras = append(extras, now)
 		}
 	}
-	countWithin := func(times []time.Time, from, to time.Time) (count int) {
-		for _, at := range times {
-			if at.After(from) && !at.After(to) {
-				count++
-			}
-		}
-		return count
-	}
 	if len(extras) < len(requests)/10 {
 		t.Errorf("seed %d: only %d extra sends for %d requests", seed, len(extras), len(requests))
 	}
-	for end := start.Add(span); end.Before(now); end = end.Add(170 * time.Millisecond) {
-		from := end.Add(-span)
-		maxRequests := 0
+	checkWindowBound(t, fmt.Sprintf("seed %d", seed), requests, extras, span, ratio, slack)
+}
+
+// checkWindowBound fails the test if more extra sends lie within a span of time
+// than the ratio of the requests within that span, the one before it or the one
+// half a span before it, whichever has most, plus the slack.
+func checkWindowBound(t *testing.T, name string, requests, extras []time.Time, span time.Duration, ratio, slack float64) {
+	t.Helper()
+	countWithin := func(times []time.Time, from time.Time) int {
+		first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+		end, _ := slices.BinarySearchFunc(times, from.Add(span), time.Time.Compare)
+		return end - first
+	}
+	for _, from := range extras {
+		most := 0
 		for _, earlier := range []time.Duration{0, span / 2, span} {
-			maxRequests = max(maxRequests, countWithin(requests, from.Add(-earlier), end.Add(-earlier)))
+			most = max(most, countWithin(requests, from.Add(-earlier)))
+		}
+		if got, bound := float64(countWithin(extras, from)), ratio*float64(most)+slack; got > bound {
+			t.Fatalf("%s: %.0f extra sends within %v from %v on, bound %.0f", name, got, span, from.Sub(start), bound)
 		}
-		if got, bound := float64(countWithin(extras, from, end)), ratio*float64(maxRequests)+slack; got > bound {
-			t.Fatalf("seed %d: %.0f extra sends until %v, bound %.0f", seed, got, end.Sub(start), bound)
+	}
+}
+
+// TestWindowMovingTraffic guards against extra sends above the limit, summed
+// over hosts, while the requests move from some hosts to others: when hosts are
+// cut off from their callers and return, when they restart, and in a burst.
+// Each host sends as many extras as it may at the time at which that does most
+// harm, and requests are counted at the host that received them only.
+func TestWindowMovingTraffic(t *testing.T) {
+	const (
+		hosts        = 4
+		span         = 10 * time.Second
+		ratio, slack = 0.2, 56.0
+		requestGap   = 5 * time.Millisecond
+		length       = 60 * time.Second
+	)
+	for name, c := range map[string]struct {
+		// share returns the share of the requests that a host receives.
+		share func(host int, at time.Duration) float64
+		// trouble reports whether the hosts send extras.
+		trouble func(at time.Duration) bool
+		// restart is the time at which host 0 restarts, 0 for never.
+		restart time.Duration
+		burst   float64
+	}{
+		"host cut off": {
+			share: func(host int, at time.Duration) float64 {
+				if at > 13500*time.Millisecond && at < 23*time.Second {
+					return []float64{0, 1. / 3, 1. / 3, 1. / 3}[host]
+				}
+				return 0.25
+			},
+			trouble: func(at time.Duration) bool { return at > 12*time.Second },
+		},
+		"all requests move to one host": {
+			share: func(host int, at time.Duration) float64 {
+				if at < 20*time.Second == (host == 0) {
+					return 0
+				}
+				return []float64{1, 1. / 3, 1. / 3, 1. / 3}[host]
+			},
+			trouble: func(at time.Duration) bool { return at > 19*time.Second },
+		},
+		"requests move to and fro": {
+			share: func(host int, at time.Duration) float64 {
+				if int(at/(4*time.Second))%hosts == host {
+					return 1
+				}
+				return 0
+			},
+			trouble: func(time.Duration) bool { return true },
+		},
+		"host restarts": {
+			share:   func(int, time.Duration) float64 { return 0.25 },
+			trouble: func(at time.Duration) bool { return at > 20*time.Second },
+			restart: 21 * time.Second,
+		},
+		"burst": {
+			share:   func(int, time.Duration) float64 { return 0.25 },
+			trouble: func(at time.Duration) bool { return at > 15*time.Second },
+			burst:   5,
+		},
+	} {
+		windows := make([]SlidingWindow, hosts)
+		for i := range windows {
+			windows[i] = SlidingWindow{Span: span, Ratio: ratio, Slack: slack, Started: start.Add(-span)}
 		}
+		var requests, extras []time.Time
+		credits := make([]float64, hosts)
+		for at := time.Duration(0); at < length; at += requestGap {
+			now := start.Add(at)
+			if at == c.restart {
+				windows[0] = SlidingWindow{Span: span, Ratio: ratio, Slack: slack, Started: now}
+			}
+			rate := 1.0
+			if c.burst > 0 && at > 20*time.Second && at < 30*time.Second {
+				rate = c.burst
+			}
+			for i := range windows {
+				for credits[i] += rate * c.share(i, at); credits[i] >= 1; credits[i]-- {
+					windows[i].RecordRequest(now)
+					requests = append(requests, now)
+				}
+				for c.trouble(at) && takeExtra(&windows[i], hosts, now) {
+					extras = append(extras, now)
+				}
+			}
+		}
+		if len(extras) == 0 {
+			t.Errorf("%s: no extra send was granted", name)
+		}
+		checkWindowBound(t, name, requests, extras, span, ratio, slack)
+	}
+}
+
+// TestWindowShare guards against a limit that gives away more than it must: in
+// steady traffic nine tenths of the ratio are granted in the long run, and half
+// of that is there at once when trouble begins.
+func TestWindowShare(t *testing.T) {
+	const (
+		span  = 10 * time.Second
+		ratio = 0.2
+		gap   = 10 * time.Millisecond
+	)
+	w := &SlidingWindow{Span: span, Ratio: ratio, Started: start}
+	now, extras := start, 0
+	for ; now.Sub(start) < 3*span; now = now.Add(gap) {
+		w.RecordRequest(now)
+	}
+	perSpan := ratio * float64(span/gap)
+	if got := w.Available(0, now); got < 0.45*perSpan {
+		t.Errorf("%.0f extra sends are available at once, want 45%% of those of a span, which are %.0f", got, perSpan)
+	}
+	const spans = 10
+	for end := now.Add(spans * span); now.Before(end); now = now.Add(gap) {
+		w.RecordRequest(now)
+		for takeExtra(w, 0, now) {
+			extras++
+		}
+	}
+	if float64(extras) < 0.9*spans*perSpan {
+		t.Errorf("%d extra sends in %d spans, want 90%% of %.0f", extras, spans, spans*perSpan)
 	}
 }
 
--- a/internal/dcengine/dcengine.go
+++ b/internal/dcengine/dcengine.go
@@ -35,6 +35,9 @@
 type Hosts interface {
 	// Count returns the number of hosts, 0 while it is unknown.
 	Count() int
+	// Sharers returns the number of hosts that share the slack of the extra sends,
+	// 0 while this host may not use any of it.
+	Sharers() int
 	// StaleConnections reports whether servers may still hold connections of an
 	// earlier process of this host.
 	StaleConnections() bool
--- a/internal/dcengine/dcengine_test.go
+++ b/internal/dcengine/dcengine_test.go
@@ -52,6 +52,7 @@
 
 func (h fakeHosts) Count() int { return int(h) }
 
+func (h fakeHosts) Sharers() int           { return int(h) }
 func (h fakeHosts) StaleConnections() bool { return false }
 
 func answeredBy(server dcid.ServerID) dcforward.Answer {
--- a/internal/dcengine/handle.go
+++ b/internal/dcengine/handle.go
@@ -104,7 +104,7 @@
 func (e *Engine) newRun(request *dcforward.Request, route *dcroute.Route) *run {
 	now := e.Clock.Now()
 	state := e.routes.get(route.Name)
-	r := &run{engine: e, request: request, route: route, state: state, hostCount: e.Hosts.Count()}
+	r := &run{engine: e, request: request, route: route, state: state, sharers: e.Hosts.Sharers()}
 	names := route.Shards
 	if len(names) == 0 {
 		names = []dcid.ServiceName{state.chooseService(route.Split)}
--- a/internal/dcengine/run.go
+++ b/internal/dcengine/run.go
@@ -25,7 +25,7 @@
 	configurationVersion dcroute.Version
 	state                *routeState
 	services             []*service
-	hostCount            int
+	sharers              int
 	plan                 *dcattempt.Plan
 	// answers holds the answer of each part, nil for none.
 	answers []*dcforward.Answer
@@ -127,7 +127,7 @@
 
 // Pick implements dcattempt.Servers.
 func (r *run) Pick(part int, exclude []dcid.ServerID, extra bool, now time.Time) (*dcbalance.Call, bool) {
-	call, ok := r.services[part].pick(exclude, extra, r.hostCount, now)
+	call, ok := r.services[part].pick(exclude, extra, r.sharers, now)
 	if ok && extra {
 		r.engine.Meter.extra.Inc(1)
 	}
--- a/internal/dcengine/service.go
+++ b/internal/dcengine/service.go
@@ -72,10 +72,10 @@
 
 // pick starts a call to a server that is not excluded. Extra sends are counted
 // against the budget, and not started when it is used up.
-func (s *service) pick(exclude []dcid.ServerID, extra bool, hosts int, now time.Time) (*dcbalance.Call, bool) {
+func (s *service) pick(exclude []dcid.ServerID, extra bool, sharers int, now time.Time) (*dcbalance.Call, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if extra && s.extra.Available(hosts, now) < 1 {
+	if extra && s.extra.Available(sharers, now) < 1 {
 		return nil, false
 	}
 	call, ok := s.group.Pick(exclude, now)
--- a/internal/dcroster/dcroster.go
+++ b/internal/dcroster/dcroster.go
@@ -36,6 +36,11 @@
 	staleConnectionTime = 12 * time.Second
 	// renewTimeout limits a renewal, with all its calls to the store.
 	renewTimeout = time.Second
+	// confirmationTime is how long a host uses its share of what the hosts divide
+	// among them, after its last renewal that the store answered. For the same
+	// time the other hosts count a host whose lease has expired, so that they do
+	// not divide its share while it may still use it.
+	confirmationTime = 30 * time.Second
 )
 
 // Roster maintains the list of hosts. Set the exported fields before Run.
@@ -55,6 +60,12 @@
 
 	mu    sync.Mutex
 	peers map[dcid.HostID]*peer
+	// expired holds the time at which this host learned that the lease of a host
+	// had expired, for hosts that ended without leaving.
+	expired map[dcid.HostID]time.Time
+	// confirmedAt is the time at which the last renewal that the store answered
+	// was sent, zero before the first.
+	confirmedAt time.Time
 	// synced is set once the list has been read.
 	synced bool
 	// leaving is set by Leave.
@@ -176,6 +187,7 @@
 	}
 	same := proto.Equal(other.record, host)
 	other.record = host
+	delete(r.expired, id)
 	other.listed = other.listed || listed
 	if !listed {
 		other.lastSeen = r.Clock.Now()
@@ -227,8 +239,14 @@
 func (r *Roster) Remove(key string) {
 	id := r.hostIDFromKey(key)
 	r.mu.Lock()
-	_, ok := r.peers[id]
+	removed, ok := r.peers[id]
 	delete(r.peers, id)
+	if ok && removed.record.GetState() != hostv1.State_STATE_LEAVING {
+		if r.expired == nil {
+			r.expired = make(map[dcid.HostID]time.Time)
+		}
+		r.expired[id] = r.Clock.Now()
+	}
 	r.mu.Unlock()
 	if ok {
 		r.Log.Info("host left the list", zap.String("peer", string(id)))
@@ -254,6 +272,33 @@
 	return len(r.presentPeers()) + 1
 }
 
+// Sharers returns the number of hosts among which a quantity is divided that all
+// hosts together must not exceed. It includes hosts whose lease has expired, for
+// confirmationTime. It returns 0 while this host may not use a share: before the
+// list has been read, and after the store has not confirmed its lease for
+// confirmationTime.
+func (r *Roster) Sharers() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	if !r.synced || r.confirmedAt.IsZero() || elapsedAtMost(r.confirmedAt, now) >= confirmationTime {
+		return 0
+	}
+	for id, at := range r.expired {
+		if now.Sub(at) >= confirmationTime {
+			delete(r.expired, id)
+		}
+	}
+	return len(r.presentPeers()) + len(r.expired) + 1
+}
+
+// elapsedAtMost returns the time from one moment to a later one, by the
+// monotonic clock or by the time of day, whichever says more. The monotonic
+// clock does not count the time for which a machine is suspended.
+func elapsedAtMost(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
 // presentPeers returns the records of the other hosts that are listed or were
 // seen within leaseTTL. The caller holds the lock.
 func (r *Roster) presentPeers() (hosts []*hostv1.Record) {
@@ -296,6 +341,7 @@
 func (r *Roster) renew(ctx context.Context) error {
 	ctx, cancel := clockwork.WithTimeout(ctx, r.Clock, renewTimeout)
 	defer cancel()
+	started := r.Clock.Now()
 	if r.lease != 0 {
 		err := r.Registry.KeepAlive(ctx, r.lease)
 		if errors.Is(err, dcstore.ErrLeaseExpired) {
@@ -312,7 +358,13 @@
 		}
 		r.lease, r.writtenState = lease, hostv1.State_STATE_UNSPECIFIED
 	}
-	return r.writeRecord(ctx)
+	if err := r.writeRecord(ctx); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.confirmedAt = started
+	r.mu.Unlock()
+	return nil
 }
 
 // writeRecord writes the record when its state has changed or the store has
--- a/internal/dcroster/dcroster_test.go
+++ b/internal/dcroster/dcroster_test.go
@@ -137,3 +137,62 @@
 		})
 	}
 }
+
+// TestSharers guards against a share that two hosts use: that of a host which is
+// cut off, still serves and is no longer listed, and against a host that is cut
+// off, or was suspended, and uses its share for longer than the others count it.
+func TestSharers(t *testing.T) { synctest.Test(t, testSharers) }
+
+func testSharers(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	roster := newRoster(clock, dcstore.NewFake(clock))
+	expect := func(what string, want int) {
+		t.Helper()
+		if got := roster.Sharers(); got != want {
+			t.Errorf("%s: %d sharers, want %d", what, got, want)
+		}
+	}
+	renew := func() {
+		t.Helper()
+		if err := roster.renew(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	expect("before the list has been read", 0)
+	roster.Synced()
+	expect("before the first renewal", 0)
+	renew()
+	roster.Put(newStoreRecord(t, newHostRecord("h2", hostv1.State_STATE_SERVING)))
+	roster.Put(newStoreRecord(t, newHostRecord("h3", hostv1.State_STATE_LEAVING)))
+	expect("two other hosts", 3)
+	roster.Remove("hosts/h2")
+	roster.Remove("hosts/h3")
+	expect("the lease of h2 expired, h3 left", 2)
+	if got := roster.Count(); got != 1 {
+		t.Errorf("%d hosts are counted, want 1", got)
+	}
+	roster.Put(newStoreRecord(t, newHostRecord("h2", hostv1.State_STATE_SERVING)))
+	expect("h2 is back", 2)
+	roster.Remove("hosts/h2")
+	time.Sleep(confirmationTime - time.Nanosecond)
+	expect("just before h2 stops using its share", 2)
+	time.Sleep(time.Nanosecond)
+	expect("without a renewal", 0)
+	// The lease has expired with the record.
+	roster.RemovalPending("hosts/h1")
+	renew()
+	expect("h2 has stopped using its share", 1)
+}
+
+// TestSharersAfterSuspension guards against a host that was suspended and acts
+// on a confirmation that has run out, since the monotonic clock did not advance.
+func TestSharersAfterSuspension(t *testing.T) {
+	confirmed := time.Now()
+	suspended := confirmed.Add(time.Second).Round(0).Add(confirmationTime)
+	if got := elapsedAtMost(confirmed, suspended); got < confirmationTime {
+		t.Errorf("%v elapsed by the time of day, want at least %v", got, confirmationTime)
+	}
+	if got := elapsedAtMost(confirmed, confirmed.Add(time.Second)); got != time.Second {
+		t.Errorf("%v elapsed by the monotonic clock, want 1s", got)
+	}
+}
