Bound the bytes that a server can send without end

Cause: heads of responses were limited by the default of net/http, 10 MB for each connection, and each body to 16 MiB, but nothing limited all bodies together: 40 endless bodies at once would hold 640 MB on a host with 284 MB. Change: heads, with interim responses, end at 64 KiB. A body buffer does not grow beyond the limit. What is cut off closes its connection and counts as lost, so the request goes elsewhere if it may, and the server's rating falls.

--- a/internal/dcconnpool/pool.go
+++ b/internal/dcconnpool/pool.go
@@ -30,6 +30,10 @@
 	bufferBytes = 2 << 10
 )
 
+// MaxResponseHeaderBytes is the maximum size of the head of a response,
+// including interim responses. The connection of a larger one is closed.
+const MaxResponseHeaderBytes = 64 << 10
+
 // Pool sends requests over persistent connections. Set the exported fields
 // before the first call. It is safe for concurrent use.
 type Pool struct {
@@ -188,12 +192,13 @@
 func (p *Pool) roundTripper() *http.Transport {
 	p.once.Do(func() {
 		p.transport = &http.Transport{
-			DialContext:         p.dial,
-			MaxIdleConnsPerHost: maxIdleConnsPerServer,
-			IdleConnTimeout:     positiveOr(p.IdleTimeout, defaultIdleTimeout),
-			DisableCompression:  true,
-			ReadBufferSize:      bufferBytes,
-			WriteBufferSize:     bufferBytes,
+			DialContext:            p.dial,
+			MaxIdleConnsPerHost:    maxIdleConnsPerServer,
+			IdleConnTimeout:        positiveOr(p.IdleTimeout, defaultIdleTimeout),
+			DisableCompression:     true,
+			ReadBufferSize:         bufferBytes,
+			WriteBufferSize:        bufferBytes,
+			MaxResponseHeaderBytes: MaxResponseHeaderBytes,
 		}
 	})
 	return p.transport
--- a/internal/dcforward/dcforward.go
+++ b/internal/dcforward/dcforward.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/dandelioncart/dandelioncart/internal/dcbalance"
@@ -18,10 +19,6 @@
 	"github.com/dandelioncart/dandelioncart/internal/dcreason"
 )
 
-// maxResponseBytes is the maximum size of a response body, which is held in
-// memory.
-const maxResponseBytes = 16 << 20
-
 // Request is a request as the caller sent it.
 type Request struct {
 	ID     dcid.RequestID
@@ -81,8 +78,17 @@
 type Client struct {
 	Pool  *dcconnpool.Pool
 	Codec Codec
+	// MaxHeldBytes limits the bytes of all bodies that are being read at the same
+	// time; 64 MiB when 0. It does not apply to the first uncountedBodyBytes of
+	// each body, so that small answers pass while others are too large.
+	MaxHeldBytes int64
+
+	held atomic.Int64
 }
 
+// HeldBytes returns the number of bytes that count towards MaxHeldBytes.
+func (c *Client) HeldBytes() int64 { return c.held.Load() }
+
 // Send sends the request once and waits for the complete response until ctx
 // ends. left is the time that the server has for the request.
 func (c *Client) Send(ctx context.Context, server dcbalance.Server, request *Request, left time.Duration) Answer {
@@ -159,7 +165,7 @@
 		exchange.Discard()
 		return Answer{Outcome: dcbalance.Lost, Code: dcreason.UpstreamMalformed, Status: response.StatusCode}
 	}
-	body, err := readBody(response)
+	body, err := c.readBody(response)
 	if err != nil {
 		return classify(ctx, exchange, err)
 	}
@@ -187,34 +193,3 @@
 	}
 	return false
 }
-
-var errResponseTooLarge = errors.New("response body exceeds the size limit")
-
-// readBody reads the body of a response to its end, up to maxResponseBytes. It
-// returns nil for a response to a HEAD request.
-func readBody(response *http.Response) ([]byte, error) {
-	switch {
-	case response.Request.Method == http.MethodHead:
-		return nil, nil
-	case response.ContentLength > maxResponseBytes:
-		return nil, errResponseTooLarge
-	}
-	if response.ContentLength >= 0 {
-		body := make([]byte, response.ContentLength)
-		_, err := io.ReadFull(response.Body, body)
-		if err != nil {
-			return nil, err
-		}
-		// Reads up to EOF, so that the connection can be reused.
-		_, err = response.Body.Read(make([]byte, 1))
-		if errors.Is(err, io.EOF) {
-			err = nil
-		}
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLarge
-	}
-	return body, err
-}
--- a/internal/dcforward/dcforward_test.go
+++ b/internal/dcforward/dcforward_test.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"context"
 	"io"
+	"log"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +19,7 @@
 	"github.com/dandelioncart/dandelioncart/internal/dcbalance"
 	"github.com/dandelioncart/dandelioncart/internal/dcconnpool"
 	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcreason"
 )
 
 // fakeCodec uses short header names in place of those of the servers' protocol.
@@ -241,3 +245,154 @@
 		}
 	}
 }
+
+// floodServer starts a server that answers each request with prefix and then
+// with filler without end. sent counts the bytes that it wrote, and closed
+// receives a value each time that its peer has closed the connection.
+func floodServer(t *testing.T, prefix, filler string, pause time.Duration) (server dcbalance.Server, sent *atomic.Int64, closed chan struct{}) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	sent, closed = &atomic.Int64{}, make(chan struct{}, 64)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				for chunk := prefix; ; chunk = filler {
+					count, err := io.WriteString(conn, chunk)
+					sent.Add(int64(count))
+					if err != nil {
+						closed <- struct{}{}
+						return
+					}
+					time.Sleep(pause)
+				}
+			}()
+		}
+	}()
+	return listenerServer(listener), sent, closed
+}
+
+func listenerServer(listener net.Listener) dcbalance.Server {
+	return dcbalance.Server{ID: "s1", Addr: dcid.ServerAddr(listener.Addr().String())}
+}
+
+// socketBufferBytes is more than the sockets of both ends hold on loopback.
+const socketBufferBytes = 8 << 20
+
+// TestEndlessBytes guards against a server that sends bytes without end, in a
+// head or in a body: a host must close the connection after a bounded number of
+// bytes, must not keep them, and must not take them for an answer.
+func TestEndlessBytes(t *testing.T) {
+	const okHead = "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\n"
+	line := strings.Repeat("x", 32<<10)
+	for name, c := range map[string]struct {
+		prefix, filler string
+		// limit is the number of bytes after which the host stops reading.
+		limit int64
+	}{
+		"status line":         {"", line, dcconnpool.MaxResponseHeaderBytes},
+		"header field":        {okHead + "Long: ", line, dcconnpool.MaxResponseHeaderBytes},
+		"header fields":       {okHead, "F: " + line + "\r\n", dcconnpool.MaxResponseHeaderBytes},
+		"interim responses":   {"", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000), dcconnpool.MaxResponseHeaderBytes},
+		"body to the close":   {okHead + "\r\n", line, maxResponseBytes},
+		"body in chunks":      {okHead + "Transfer-Encoding: chunked\r\n\r\n", "8000\r\n" + line + "\r\n", maxResponseBytes},
+		"chunk extension":     {okHead + "Transfer-Encoding: chunked\r\n\r\n8;", line, dcconnpool.MaxResponseHeaderBytes},
+		"body with a length":  {okHead + "Content-Length: 9000000000000\r\n\r\n", line, 0},
+		"trailer":             {okHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nT: ", line, dcconnpool.MaxResponseHeaderBytes},
+		"unread refused body": {"HTTP/1.1 200 OK\r\nId: r2\r\n\r\n", line, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, sent, closed := floodServer(t, c.prefix, c.filler, 0)
+			answer := send(t, newClient(t), server, newRequestFor(http.MethodGet, "/a", ""))
+			if answer.Outcome != dcbalance.Lost {
+				t.Errorf("outcome %d (%s), want lost", answer.Outcome, answer.Code)
+			}
+			<-closed
+			if got := sent.Load(); got > c.limit+socketBufferBytes {
+				t.Errorf("the server sent %d bytes before the connection was closed, limit %d", got, c.limit)
+			}
+		})
+	}
+}
+
+// TestEndlessBytesAfterResponse guards against a server that goes on sending
+// after a complete response: the connection must be closed and not be used for
+// the next request.
+func TestEndlessBytesAfterResponse(t *testing.T) {
+	// net/http logs the beginning of the bytes.
+	log.SetOutput(io.Discard)
+	defer log.SetOutput(os.Stderr)
+	server, sent, closed := floodServer(t, validResponse, strings.Repeat("x", 32<<10), 0)
+	client := newClient(t)
+	if answer := send(t, client, server, newRequestFor(http.MethodGet, "/a", "")); answer.Outcome != dcbalance.Answered || string(answer.Body) != "ok" {
+		t.Errorf("outcome %d, body %q", answer.Outcome, answer.Body)
+	}
+	<-closed
+	if got := sent.Load(); got > socketBufferBytes {
+		t.Errorf("the server sent %d bytes before the connection was closed", got)
+	}
+	if answer := send(t, client, server, newRequestFor(http.MethodGet, "/a", "")); answer.Outcome != dcbalance.Answered {
+		t.Errorf("second request: outcome %d (%v)", answer.Outcome, answer.Err)
+	}
+}
+
+// TestSlowEndlessBytes guards against a server that sends a few bytes at a time
+// without end: the time limit of the request must close the connection.
+func TestSlowEndlessBytes(t *testing.T) {
+	for _, prefix := range []string{"HTTP/1.1 200 OK\r\nLong: ", "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\n\r\n"} {
+		server, _, closed := floodServer(t, prefix, "x", time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		answer := newClient(t).Send(ctx, server, newRequestFor(http.MethodGet, "/a", ""), time.Second)
+		if answer.Outcome != dcbalance.Lost || answer.Code != dcreason.DeadlineExceeded {
+			t.Errorf("outcome %d (%s), want lost at the deadline", answer.Outcome, answer.Code)
+		}
+		<-closed
+	}
+}
+
+// TestEndlessBytesMemory guards against many endless bodies at the same time
+// that take the memory of a host: together they may hold the limit of the client
+// only, while small answers are still delivered.
+func TestEndlessBytesMemory(t *testing.T) {
+	const (
+		requests  = 40
+		heldLimit = 4 << 20
+	)
+	flood, _, _ := floodServer(t, "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\n\r\n", strings.Repeat("x", 32<<10), 0)
+	sound, _ := rawServer(t, validResponse)
+	client := newClient(t)
+	client.Pool.SetLimit(flood.Addr, requests)
+	client.MaxHeldBytes = heldLimit
+	var floods sync.WaitGroup
+	for range requests {
+		floods.Go(func() {
+			if answer := send(t, client, flood, newRequestFor(http.MethodGet, "/a", "")); answer.Outcome != dcbalance.Lost {
+				t.Errorf("flood: outcome %d (%s), want lost", answer.Outcome, answer.Code)
+			}
+		})
+	}
+	for range 20 {
+		if answer := send(t, client, sound, newRequestFor(http.MethodGet, "/a", "")); answer.Outcome != dcbalance.Answered {
+			t.Errorf("sound server: outcome %d (%v)", answer.Outcome, answer.Err)
+		}
+		if held := client.HeldBytes(); held > heldLimit {
+			t.Errorf("%d bytes are held, limit %d", held, heldLimit)
+		}
+	}
+	floods.Wait()
+	if held := client.HeldBytes(); held != 0 {
+		t.Errorf("%d bytes are held after the last answer", held)
+	}
+}
