Do not use a departed server again after a restart

Cause, found by reading and shown by tests: (1) a host that starts, or is cut off from the store, takes the copy of another host. Records whose removal was pending there came without that mark, and the other host drops them later without a change of its revision, so the server stayed in use until the store answered. (2) An answer of the store that was delayed until after such a copy replaced it and listed the server once more. Change: a copy names the pending removals, and the receiver drops them after the time that an owner needs to write its record again. An answer whose call began before a newer copy arrived is ignored and read again. A call that began after it is believed even if it is older, so that a wrong revision of a host cannot keep the store out for good.

--- a/internal/dcmirror/dcmirror.go
+++ b/internal/dcmirror/dcmirror.go
@@ -7,6 +7,8 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,9 +63,9 @@
 
 // Peers fetches records from the other hosts while the store is unavailable.
 type Peers interface {
-	// Fetch returns the records of a host if they are newer than a known
-	// revision, and the revision of its copy.
-	Fetch(ctx context.Context, known dcstore.Revision) ([]dcstore.Record, dcstore.Revision, error)
+	// Fetch returns the copy of a host, without its records unless it is newer
+	// than a known revision.
+	Fetch(ctx context.Context, known dcstore.Revision) (dcstore.Copy, error)
 }
 
 // Mirror maintains the copy. Set the exported fields before Run.
@@ -99,20 +101,20 @@
 	watchSuspect bool
 }
 
-// Copy returns the records if they are newer than a known revision, and the
-// revision of the copy, 0 when there is none.
-func (m *Mirror) Copy(known dcstore.Revision) (records []dcstore.Record, revision dcstore.Revision) {
+// Copy returns the copy, without its records unless it is newer than a known
+// revision. Its revision is 0 when there is none.
+func (m *Mirror) Copy(known dcstore.Revision) dcstore.Copy {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.synced {
-		return nil, 0
+		return dcstore.Copy{}
 	}
+	copied := dcstore.Copy{Revision: m.revision}
 	if m.revision > known {
-		for _, record := range m.set.records {
-			records = append(records, record)
-		}
+		copied.Records = slices.Collect(maps.Values(m.set.records))
+		copied.PendingRemovals = slices.Collect(maps.Keys(m.set.pendingRemoval))
 	}
-	return records, m.revision
+	return copied
 }
 
 // Run follows the store until ctx ends.
@@ -166,8 +168,13 @@
 	probe    bool
 	records  []dcstore.Record
 	changes  []dcstore.Change
-	revision dcstore.Revision
-	err      error
+	// pendingRemovals lists the records of another host whose removal is pending
+	// there.
+	pendingRemovals []string
+	revision        dcstore.Revision
+	// copyRevision is the revision of the copy when the call to the store began.
+	copyRevision dcstore.Revision
+	err          error
 }
 
 // watchStore reads a snapshot and then waits for changes, one call after the
@@ -181,7 +188,7 @@
 			// must not be applied again, so a new snapshot is read.
 			haveSnapshot = false
 		}
-		update := update{snapshot: !haveSnapshot}
+		update := update{snapshot: !haveSnapshot, copyRevision: m.copyRevision()}
 		if haveSnapshot {
 			watchCtx, cancel := clockwork.WithTimeout(ctx, m.Clock, watchTimeout)
 			m.setWatch(cancel)
@@ -233,6 +240,13 @@
 	}
 }
 
+// copyRevision returns the revision of the copy.
+func (m *Mirror) copyRevision() dcstore.Revision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
 // isAhead reports whether the copy is newer than the revision that watchStore
 // has read.
 func (m *Mirror) isAhead(revision dcstore.Revision) bool {
@@ -359,8 +373,14 @@
 		return
 	}
 	m.storeReached = true
-	m.revision = max(m.revision, update.revision)
 	m.recovered(update.revision, now)
+	if update.revision < m.revision && update.copyRevision < m.revision {
+		// The copy of another host arrived during the call. The answer may list
+		// records that are gone in it; watchStore reads a new snapshot.
+		m.Log.Info("answer of the store ignored, the copy is newer", zap.Int64("revision", int64(update.revision)), zap.Int64("own-revision", int64(m.revision)))
+		return
+	}
+	m.revision = update.revision
 	if update.snapshot {
 		m.set.replace(update.records, now)
 	} else {
@@ -379,6 +399,11 @@
 		zap.Int64("revision", int64(update.revision)), zap.Int64("own-revision", int64(m.revision)))
 	m.revision = update.revision
 	m.set.replace(update.records, now)
+	// That host drops these records without a change of its revision, so that no
+	// later copy would tell.
+	for _, key := range update.pendingRemovals {
+		m.set.scheduleRemoval(key, now.Add(outageRemovalDelay))
+	}
 	m.markSynced()
 }
 
@@ -405,13 +430,13 @@
 		if !ask {
 			continue
 		}
-		records, revision, err := m.Peers.Fetch(ctx, known)
+		copied, err := m.Peers.Fetch(ctx, known)
 		if err != nil {
 			m.Log.Info("no records from another host", zap.String("error", err.Error()))
 			continue
 		}
 		select {
-		case updates <- update{peer: true, records: records, revision: revision}:
+		case updates <- update{peer: true, records: copied.Records, pendingRemovals: copied.PendingRemovals, revision: copied.Revision}:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/dcmirror/dcmirror_test.go
+++ b/internal/dcmirror/dcmirror_test.go
@@ -237,11 +237,80 @@
 // a.
 type fakePeer struct{}
 
-func (fakePeer) Fetch(_ context.Context, known dcstore.Revision) ([]dcstore.Record, dcstore.Revision, error) {
-	if known >= 9 {
-		return nil, 9, nil
+func (fakePeer) Fetch(_ context.Context, known dcstore.Revision) (dcstore.Copy, error) {
+	copied := dcstore.Copy{Revision: 9}
+	if known < 9 {
+		copied.Records = []dcstore.Record{newRecord("b", 9)}
+	}
+	return copied, nil
+}
+
+// slowHistory answers the first snapshot late, with a state in which record a
+// still exists, and the second one with the state of fakePeer.
+type slowHistory struct{ scriptedHistory }
+
+func (s *slowHistory) Snapshot(ctx context.Context, prefix string) ([]dcstore.Record, dcstore.Revision, error) {
+	records, revision, err := s.scriptedHistory.Snapshot(ctx, prefix)
+	if revision < 9 {
+		time.Sleep(time.Second)
+	}
+	return records, revision, err
+}
+
+// TestDelayedSnapshot guards against an answer of the store that was delayed
+// and replaces the newer copy of another host: after a restart, a server that
+// has left would be used again.
+func TestDelayedSnapshot(t *testing.T) { synctest.Test(t, testDelayedSnapshot) }
+
+func testDelayedSnapshot(t *testing.T) {
+	history := &slowHistory{scriptedHistory{answers: []update{
+		{records: []dcstore.Record{newRecord("a", 1)}, revision: 5},
+		{records: []dcstore.Record{newRecord("b", 9), newRecord("c", 11)}, revision: 11},
+	}}}
+	var observer recordingObserver
+	mirror := &Mirror{History: history, Peers: fakePeer{}, Observer: &observer, Clock: clockwork.NewRealClock(), Log: zap.NewNop()}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if err := mirror.Run(ctx); err != nil {
+		t.Error(err)
+	}
+	if got := observer.take(); got != "put b=v, synced, put c=v" {
+		t.Error(got)
+	}
+}
+
+// TestSnapshotBehindPeer guards against a host that ignores the store for good
+// because another host claims a revision that the store has not reached.
+func TestSnapshotBehindPeer(t *testing.T) {
+	var observer recordingObserver
+	mirror := &Mirror{Observer: &observer, Clock: clockwork.NewFakeClock(), Log: zap.NewNop(), set: newRecordSet(&observer)}
+	mirror.apply(update{peer: true, records: []dcstore.Record{newRecord("b", 9)}, revision: 9})
+	mirror.apply(update{snapshot: true, copyRevision: 9, records: []dcstore.Record{newRecord("c", 4)}, revision: 4})
+	if got := observer.take(); got != "put b=v, synced, put c=v, pending b" {
+		t.Error(got)
+	}
+	if mirror.revision != 4 {
+		t.Errorf("revision %d, want that of the store", mirror.revision)
+	}
+}
+
+// TestPendingRemovalOfPeer guards against a host that keeps using a record whose
+// removal was pending when it took the copy of another host: that host drops the
+// record later, without a change of its revision.
+func TestPendingRemovalOfPeer(t *testing.T) {
+	var observer, unused recordingObserver
+	clock := clockwork.NewFakeClock()
+	first := &Mirror{Clock: clock, Log: zap.NewNop(), Observer: &unused, set: newRecordSet(&unused)}
+	first.apply(update{snapshot: true, records: []dcstore.Record{newRecord("a", 1), newRecord("b", 2)}, revision: 2})
+	first.apply(update{changes: []dcstore.Change{newRemoval("a", 3)}, revision: 3})
+	copied := first.Copy(0)
+	second := &Mirror{Clock: clock, Log: zap.NewNop(), Observer: &observer, set: newRecordSet(&observer)}
+	second.apply(update{peer: true, records: copied.Records, pendingRemovals: copied.PendingRemovals, revision: copied.Revision})
+	observer.take()
+	second.set.removeDue(clock.Now().Add(outageRemovalDelay))
+	if got := observer.take(); got != "remove a" {
+		t.Errorf("got %q, want the removal of a", got)
 	}
-	return []dcstore.Record{newRecord("b", 9)}, 9, nil
 }
 
 // TestChangesAfterPeer guards against applying changes again that the copy of
--- a/internal/dcmirror/record_set.go
+++ b/internal/dcmirror/record_set.go
@@ -44,7 +44,7 @@
 	}
 	for key := range s.records {
 		if !present[key] {
-			s.scheduleRemoval(key, now)
+			s.scheduleRemoval(key, s.removalTime(now))
 		}
 	}
 }
@@ -55,7 +55,7 @@
 	for _, change := range changes {
 		if change.Removed {
 			if s.records[change.Key].Modified < change.Modified {
-				s.scheduleRemoval(change.Key, now)
+				s.scheduleRemoval(change.Key, s.removalTime(now))
 			}
 			continue
 		}
@@ -76,18 +76,24 @@
 	s.observer.Put(record)
 }
 
-// scheduleRemoval marks a record as pending removal.
-func (s *recordSet) scheduleRemoval(key string, now time.Time) {
+// removalTime returns when a record is dropped whose removal this host learns of
+// now.
+func (s *recordSet) removalTime(now time.Time) time.Time {
+	until := now.Add(removalDelay)
+	if afterOutage := s.recovered.Add(outageRemovalDelay); afterOutage.After(until) {
+		until = afterOutage
+	}
+	return until
+}
+
+// scheduleRemoval marks a record as pending removal until the given time.
+func (s *recordSet) scheduleRemoval(key string, until time.Time) {
 	if _, ok := s.records[key]; !ok {
 		return
 	}
 	if _, ok := s.pendingRemoval[key]; ok {
 		return
 	}
-	until := now.Add(removalDelay)
-	if afterOutage := s.recovered.Add(outageRemovalDelay); afterOutage.After(until) {
-		until = afterOutage
-	}
 	s.pendingRemoval[key] = until
 	s.observer.RemovalPending(key)
 }
--- a/internal/dcrelay/dcrelay.go
+++ b/internal/dcrelay/dcrelay.go
@@ -33,9 +33,9 @@
 
 // RecordServer serves this host's copy of the records to other hosts.
 type RecordServer struct {
-	// Copy returns the records of this host's copy if it is newer than the known
-	// revision, and the revision of the copy.
-	Copy func(known dcstore.Revision) ([]dcstore.Record, dcstore.Revision)
+	// Copy returns this host's copy, without its records unless it is newer than
+	// the known revision.
+	Copy func(known dcstore.Revision) dcstore.Copy
 	// Host returns the host record of this host.
 	Host func() *hostv1.Record
 }
@@ -49,9 +49,9 @@
 
 // FetchRecords implements hostv1connect.HostServiceHandler.
 func (s *RecordServer) FetchRecords(_ context.Context, request *connect.Request[hostv1.FetchRecordsRequest]) (*connect.Response[hostv1.FetchRecordsResponse], error) {
-	records, revision := s.Copy(dcstore.Revision(request.Msg.GetKnownRevision()))
-	response := &hostv1.FetchRecordsResponse{Host: s.Host(), Revision: int64(revision)}
-	for _, record := range records {
+	copied := s.Copy(dcstore.Revision(request.Msg.GetKnownRevision()))
+	response := &hostv1.FetchRecordsResponse{Host: s.Host(), Revision: int64(copied.Revision), PendingRemovals: copied.PendingRemovals}
+	for _, record := range copied.Records {
 		response.Records = append(response.Records, &hostv1.StoredRecord{Key: record.Key, Value: record.Value, Modified: int64(record.Modified)})
 	}
 	return connect.NewResponse(response), nil
@@ -71,11 +71,11 @@
 // Fetch requests the records from another host, selected at random, if its copy
 // is newer than the known revision. Otherwise it returns no records. Its error
 // wraps ErrNoHost if Addresses returns none.
-func (c *Client) Fetch(ctx context.Context, known dcstore.Revision) (records []dcstore.Record, revision dcstore.Revision, err error) {
+func (c *Client) Fetch(ctx context.Context, known dcstore.Revision) (copied dcstore.Copy, err error) {
 	defer func() { err = eris.Wrap(err, "fetch records from another host") }()
 	addresses := c.Addresses()
 	if len(addresses) == 0 {
-		return nil, 0, ErrNoHost
+		return dcstore.Copy{}, ErrNoHost
 	}
 	address := addresses[c.Random.IntN(len(addresses))]
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -83,15 +83,16 @@
 	stub := hostv1connect.NewHostServiceClient(c.HTTP, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
 	response, err := stub.FetchRecords(ctx, connect.NewRequest(&hostv1.FetchRecordsRequest{KnownRevision: int64(known)}))
 	if err != nil {
-		return nil, 0, err
+		return dcstore.Copy{}, err
 	}
 	if host := response.Msg.GetHost(); host != nil {
 		c.RecordReceived(host)
 	}
+	copied = dcstore.Copy{Revision: dcstore.Revision(response.Msg.GetRevision()), PendingRemovals: response.Msg.GetPendingRemovals()}
 	for _, record := range response.Msg.GetRecords() {
-		records = append(records, dcstore.Record{Key: record.GetKey(), Value: record.GetValue(), Modified: dcstore.Revision(record.GetModified())})
+		copied.Records = append(copied.Records, dcstore.Record{Key: record.GetKey(), Value: record.GetValue(), Modified: dcstore.Revision(record.GetModified())})
 	}
-	return records, dcstore.Revision(response.Msg.GetRevision()), nil
+	return copied, nil
 }
 
 // OtherAddresses returns the addresses of all lists without duplicates, empty
--- a/internal/dcstore/store.go
+++ b/internal/dcstore/store.go
@@ -61,6 +61,16 @@
 	Modified Revision
 }
 
+// Copy is a copy of the records below a prefix.
+type Copy struct {
+	Records []Record
+	// PendingRemovals lists the keys of those records that the store no longer
+	// holds, but that may be written again soon.
+	PendingRemovals []string
+	// Revision is the revision of the store that the copy has reached.
+	Revision Revision
+}
+
 // Swap describes a compare-and-swap of one key.
 type Swap struct {
 	Key string
