Keep one panic of a send from ending the process

Cause: a panic in the goroutine of a send ends the whole process; net/http only catches those of its handlers. No input is known that causes one; operators of similar systems report that one unexpected error took a process down. Change: such a send counts as lost, so a request that may run once only is not sent again, and the panic is logged with its stack. Test: TestPanicOfSend ended the test program before.

--- a/internal/dcengine/dcengine_test.go
+++ b/internal/dcengine/dcengine_test.go
@@ -200,6 +200,24 @@
 	}
 }
 
+// TestPanicOfSend guards against one unexpected error that ends the process with
+// all requests that it serves, and against running a request again that may have
+// run before the error.
+func TestPanicOfSend(t *testing.T) {
+	for path, want := range map[string]int{"/safe/x": http.StatusOK, "/unsafe/x": http.StatusBadGateway, "/query/x": http.StatusOK} {
+		sender := &fakeSender{answer: func(_ context.Context, server dcid.ServerID, count int) dcforward.Answer {
+			if count == 1 {
+				panic("unexpected")
+			}
+			return answeredBy(server)
+		}}
+		engine := newTestEngine(t, sender)
+		if reply := engine.Handle(t.Context(), newTestRequest(engine, path)); reply.Status != want {
+			t.Errorf("%s: status %d (%s), want %d", path, reply.Status, reply.Code, want)
+		}
+	}
+}
+
 // TestAllServersRefuse guards against holding a request although all servers
 // refuse it, and against a refusal without a retry delay.
 func TestAllServersRefuse(t *testing.T) {
--- a/internal/dcengine/run.go
+++ b/internal/dcengine/run.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"github.com/dandelioncart/dandelioncart/internal/dcattempt"
 	"github.com/dandelioncart/dandelioncart/internal/dcbalance"
@@ -109,7 +111,7 @@
 		r.sends.Go(func() {
 			engine, service := r.engine, r.services[send.Part]
 			started := engine.Clock.Now()
-			answer := engine.Sender.Send(ctx, send.Call.Server, r.request, r.plan.Deadline.Sub(started))
+			answer := engine.send(ctx, send.Call.Server, r.request, r.plan.Deadline.Sub(started))
 			if answer.Outcome == dcbalance.Answered && len(r.route.Shards) > 0 && answer.Status/100 != 2 {
 				answer.Outcome, answer.Code = dcbalance.Failed, dcreason.UpstreamError
 			}
@@ -125,6 +127,19 @@
 	}
 }
 
+// send sends a request to a server. A panic ends this send only, and not the
+// process with all requests that it serves; the request may have run.
+func (e *Engine) send(ctx context.Context, server dcbalance.Server, request *dcforward.Request, left time.Duration) (answer dcforward.Answer) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			e.Log.Error("send ended by a panic", zap.String("request", string(request.ID)), zap.String("server", string(server.ID)),
+				zap.Any("cause", cause), zap.Stack("stack"))
+			answer = dcforward.Answer{Outcome: dcbalance.Lost, Code: dcreason.UpstreamMalformed, Err: eris.Errorf("panic: %v", cause)}
+		}
+	}()
+	return e.Sender.Send(ctx, server, request, left)
+}
+
 // Pick implements dcattempt.Servers.
 func (r *run) Pick(part int, exclude []dcid.ServerID, extra bool, now time.Time) (*dcbalance.Call, bool) {
 	call, ok := r.services[part].pick(exclude, extra, r.sharers, now)
