--- a/internal/dcforward/dcforward_test.go
+++ b/internal/dcforward/dcforward_test.go
@@ -45,23 +45,29 @@
 // with "close" closes the connection, and "reset" resets it. requests counts the
 // requests received.
 func rawServer(t *testing.T, answers ...string) (server dcbalance.Server, requests *atomic.Int32) {
+	t.Helper()
+	requests = &atomic.Int32{}
+	return listen(t, func(conn net.Conn) { serveRaw(conn, answers, requests) }), requests
+}
+
+// listen starts a server that calls serve for each connection.
+func listen(t *testing.T, serve func(conn net.Conn)) dcbalance.Server {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	requests = &atomic.Int32{}
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go serveRaw(conn, answers, requests)
+			go serve(conn)
 		}
 	}()
-	return dcbalance.Server{ID: "s1", Addr: dcid.ServerAddr(listener.Addr().String())}, requests
+	return dcbalance.Server{ID: "s1", Addr: dcid.ServerAddr(listener.Addr().String())}
 }
 
 func serveRaw(conn net.Conn, answers []string, requests *atomic.Int32) {
@@ -251,40 +257,22 @@
 // receives a value each time that its peer has closed the connection.
 func floodServer(t *testing.T, prefix, filler string, pause time.Duration) (server dcbalance.Server, sent *atomic.Int64, closed chan struct{}) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
 	sent, closed = &atomic.Int64{}, make(chan struct{}, 64)
-	go func() {
-		for {
-			conn, err := listener.Accept()
+	return listen(t, func(conn net.Conn) {
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		for chunk := prefix; ; chunk = filler {
+			count, err := io.WriteString(conn, chunk)
+			sent.Add(int64(count))
 			if err != nil {
+				closed <- struct{}{}
 				return
 			}
-			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				for chunk := prefix; ; chunk = filler {
-					count, err := io.WriteString(conn, chunk)
-					sent.Add(int64(count))
-					if err != nil {
-						closed <- struct{}{}
-						return
-					}
-					time.Sleep(pause)
-				}
-			}()
+			time.Sleep(pause)
 		}
-	}()
-	return listenerServer(listener), sent, closed
-}
-
-func listenerServer(listener net.Listener) dcbalance.Server {
-	return dcbalance.Server{ID: "s1", Addr: dcid.ServerAddr(listener.Addr().String())}
+	}), sent, closed
 }
 
 // socketBufferBytes is more than the sockets of both ends hold on loopback.
@@ -351,9 +339,15 @@
 // without end: the time limit of the request must close the connection.
 func TestSlowEndlessBytes(t *testing.T) {
 	for _, prefix := range []string{"HTTP/1.1 200 OK\r\nLong: ", "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\n\r\n"} {
-		server, _, closed := floodServer(t, prefix, "x", time.Millisecond)
-		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
-		defer cancel()
+		server, sent, closed := floodServer(t, prefix, "x", time.Millisecond)
+		// The time limit passes once the server has begun to send without end.
+		ctx, cancel := context.WithCancelCause(t.Context())
+		go func() {
+			for sent.Load() <= int64(len(prefix)) && t.Context().Err() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			cancel(context.DeadlineExceeded)
+		}()
 		answer := newClient(t).Send(ctx, server, newRequestFor(http.MethodGet, "/a", ""), time.Second)
 		if answer.Outcome != dcbalance.Lost || answer.Code != dcreason.DeadlineExceeded {
 			t.Errorf("outcome %d (%s), want lost at the deadline", answer.Outcome, answer.Code)
