Count requests and extra sends by service

Cause: the metrics have one sum of extra sends for all services. They can't tell a shard whose extras exceed the bound from sends that hosts do not count, nor whose requests the bound grew with. Change: three counters by service (requests, extra sends, denied extra sends), created with the first request of a service.

--- a/internal/dcengine/dcengine.go
+++ b/internal/dcengine/dcengine.go
@@ -176,7 +176,7 @@
 		e.services.byName = make(map[dcid.ServiceName]*service)
 	}
 	e.Seed++
-	found = newService(name, e.Domain, e.ExtraLoad, e.Started, rand.New(rand.NewPCG(e.Seed, uint64(len(name)))))
+	found = newService(name, e.Domain, e.ExtraLoad, e.Started, rand.New(rand.NewPCG(e.Seed, uint64(len(name)))), e.Meter)
 	e.services.byName[name] = found
 	return found
 }
--- a/internal/dcengine/meter.go
+++ b/internal/dcengine/meter.go
@@ -5,6 +5,7 @@
 
 	tally "github.com/uber-go/tally/v4"
 
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
 	"github.com/dandelioncart/dandelioncart/internal/dcreason"
 )
 
@@ -38,3 +39,20 @@
 	m.scope.Tagged(map[string]string{"reason": string(code)}).Counter("requests").Inc(1)
 	m.scope.Timer("request_latency").Record(elapsed)
 }
+
+// serviceCounters holds the counters of the budget of extra sends of a service.
+type serviceCounters struct {
+	// requests counts the requests that the budget grows with, extra counts the
+	// extra sends, and extraDenied those that the budget did not allow.
+	requests, extra, extraDenied tally.Counter
+}
+
+// service returns the counters of a service.
+func (m *Meter) service(name dcid.ServiceName) *serviceCounters {
+	scope := m.scope.Tagged(map[string]string{"service": string(name)})
+	return &serviceCounters{
+		requests:    scope.Counter("service_requests"),
+		extra:       scope.Counter("service_extra_sends"),
+		extraDenied: scope.Counter("service_extra_sends_denied"),
+	}
+}
--- a/internal/dcengine/service.go
+++ b/internal/dcengine/service.go
@@ -20,11 +20,15 @@
 	// extra is the budget of extra sends, which are hedges and retries.
 	extra   dcbudget.SlidingWindow
 	servers []dcbalance.Server
+	meter   *Meter
+	// counters is nil until the first request.
+	counters *serviceCounters
 }
 
-func newService(name dcid.ServiceName, domain dcid.FailureDomain, extra ExtraLoad, started time.Time, random *rand.Rand) *service {
+func newService(name dcid.ServiceName, domain dcid.FailureDomain, extra ExtraLoad, started time.Time, random *rand.Rand, meter *Meter) *service {
 	return &service{
 		name:  name,
+		meter: meter,
 		group: dcbalance.Group{Domain: domain, Random: random},
 		extra: dcbudget.SlidingWindow{Span: extra.Span, Ratio: extra.Ratio, Slack: extra.Slack, Started: started},
 	}
@@ -76,21 +80,32 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if extra && s.extra.Available(sharers, now) < 1 {
+		s.metrics().extraDenied.Inc(1)
 		return nil, false
 	}
 	call, ok := s.group.Pick(exclude, now)
 	if ok && extra {
 		s.extra.RecordExtra(now)
+		s.metrics().extra.Inc(1)
 	}
 	return call, ok
 }
 
+// metrics returns the counters of the service. The caller holds the lock.
+func (s *service) metrics() *serviceCounters {
+	if s.counters == nil {
+		s.counters = s.meter.service(s.name)
+	}
+	return s.counters
+}
+
 // request counts a request to the service. The budget of extra sends grows with
 // it.
 func (s *service) request(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.extra.RecordRequest(now)
+	s.metrics().requests.Inc(1)
 }
 
 // unresponsive records that a call is unanswered after the hedge delay.
