--- a/internal/dcbudget/window_test.go
+++ b/internal/dcbudget/window_test.go
@@ -89,9 +89,11 @@
 		share func(host int, at time.Duration) float64
 		// trouble reports whether the hosts send extras.
 		trouble func(at time.Duration) bool
-		// restart is the time at which host 0 restarts, 0 for never.
-		restart time.Duration
-		burst   float64
+		// restart is the time at which the first hosts restart, as many as
+		// restarted; 0 for never.
+		restart   time.Duration
+		restarted int
+		burst     float64
 	}{
 		"host cut off": {
 			share: func(host int, at time.Duration) float64 {
@@ -123,7 +125,12 @@
 		"host restarts": {
 			share:   func(int, time.Duration) float64 { return 0.25 },
 			trouble: func(at time.Duration) bool { return at > 20*time.Second },
-			restart: 21 * time.Second,
+			restart: 21 * time.Second, restarted: 1,
+		},
+		"all hosts restart": {
+			share:   func(int, time.Duration) float64 { return 0.25 },
+			trouble: func(at time.Duration) bool { return at > 11*time.Second },
+			restart: 13 * time.Second, restarted: hosts,
 		},
 		"burst": {
 			share:   func(int, time.Duration) float64 { return 0.25 },
@@ -139,8 +146,10 @@
 		credits := make([]float64, hosts)
 		for at := time.Duration(0); at < length; at += requestGap {
 			now := start.Add(at)
-			if at == c.restart {
-				windows[0] = SlidingWindow{Span: span, Ratio: ratio, Slack: slack, Started: now}
+			for i := range c.restarted {
+				if at == c.restart {
+					windows[i] = SlidingWindow{Span: span, Ratio: ratio, Slack: slack, Started: now}
+				}
 			}
 			rate := 1.0
 			if c.burst > 0 && at > 20*time.Second && at < 30*time.Second {
