Cancel a waiting retry when a hedge is sent

Cause: a retry that the budget denies is scheduled for a later try. A hedge of the same part may be sent before it; the retry then goes out without a check of the attempts. Change: recordSend, through which every send goes, cancels the waiting retry, so that attempts cannot grow between the check and the send. Test: TestAttemptLimit plays random outcomes and denied extras; before the change it failed at request 39 of seed 21 (3 sends, 2 allowed), now it passes.

--- a/internal/dcattempt/dcattempt.go
+++ b/internal/dcattempt/dcattempt.go
@@ -257,13 +257,15 @@
 	return append(sends, p.recordSend(index, call, true, now))
 }
 
-// recordSend adds a call to the state of its part and sets the time of the next
-// hedge.
+// recordSend adds a call to the state of its part, cancels a waiting retry and
+// sets the time of the next hedge.
 func (p *Plan) recordSend(index int, call *dcbalance.Call, extra bool, now time.Time) Send {
 	part := &p.parts[index]
 	part.tried = append(part.tried, call.Server.ID)
 	part.inFlight = append(part.inFlight, call)
 	part.attempts++
+	// A hedge takes the place of a retry that waits for a server or for budget.
+	part.retryAt = time.Time{}
 	if p.Idempotent && p.HedgeDelay > 0 {
 		part.hedgeAt = now.Add(p.HedgeDelay)
 	}
--- a/internal/dcattempt/dcattempt_test.go
+++ b/internal/dcattempt/dcattempt_test.go
@@ -1,6 +1,7 @@
 package dcattempt
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -204,3 +205,49 @@
 		}
 	}
 }
+
+// TestAttemptLimit guards against running a part on more than MaxAttempts
+// servers, for any order of outcomes, hedges and denied retries.
+func TestAttemptLimit(t *testing.T) {
+	const (
+		seed     = 21
+		requests = 5000
+		maxPause = 20 * time.Millisecond
+	)
+	random := rand.New(rand.NewPCG(seed, 0))
+	outcomes := []dcbalance.Outcome{dcbalance.Answered, dcbalance.Failed, dcbalance.Failed, dcbalance.Lost, dcbalance.Refused, dcbalance.Unreachable}
+	for request := range requests {
+		servers := &fakeServers{}
+		policy := testPolicy()
+		plan := New(policy, 2, servers)
+		now := start
+		pending := plan.Start(now)
+		// mayRun counts the sends of each part that run, or that may run.
+		mayRun := make([]int, 2)
+		for !plan.Done(now) {
+			servers.budget = servers.extra + random.IntN(2)
+			var sends []Send
+			if len(pending) > 0 && random.IntN(2) == 0 {
+				index := random.IntN(len(pending))
+				ended := pending[index]
+				pending = slices.Delete(pending, index, index+1)
+				outcome := outcomes[random.IntN(len(outcomes))]
+				if outcome != dcbalance.Refused && outcome != dcbalance.Unreachable {
+					mayRun[ended.Part]++
+				}
+				sends = plan.HandleOutcome(ended, outcome, now)
+			} else {
+				now = now.Add(time.Duration(random.Int64N(int64(maxPause))))
+				sends = plan.Tick(now)
+			}
+			pending = append(pending, sends...)
+			running := slices.Clone(mayRun)
+			for _, send := range pending {
+				running[send.Part]++
+			}
+			if most := slices.Max(running); most > policy.MaxAttempts {
+				t.Fatalf("seed %d, request %d: %d sends of a part run or may run, want at most %d", seed, request, most, policy.MaxAttempts)
+			}
+		}
+	}
+}
