Leave out shards whose rate limits have no room in time

Cause: their part waited for room until the answer was due, although the share and the parts that wait already tell when there will be room. Change: admit leaves such parts out before the first send, as far as the coverage rule allows; dcattempt.RetryDelay is exported for the estimate. Tests: TestLeaveOut; TestQueryWithLimitedShard failed before (88 ms in place of the time of the other shards).

--- a/internal/dcattempt/dcattempt.go
+++ b/internal/dcattempt/dcattempt.go
@@ -15,9 +15,9 @@
 	// addition to the attempts of a part. A refused send does not count as an
 	// attempt.
 	refusalRetries = 2
-	// retryDelay is the wait before the next try of a part for which no server
+	// RetryDelay is the wait before the next try of a part for which no server
 	// was available.
-	retryDelay = 15 * time.Millisecond
+	RetryDelay = 15 * time.Millisecond
 )
 
 // MaxSends returns the maximum number of sends of one part.
@@ -102,11 +102,23 @@
 // Start returns the first send of each part.
 func (p *Plan) Start(now time.Time) (sends []Send) {
 	for i := range p.parts {
-		sends = p.send(sends, i, false, now)
+		if p.parts[i].state == pending {
+			sends = p.send(sends, i, false, now)
+		}
 	}
 	return sends
 }
 
+// LeaveOut ends a part before Start, because no server will have room for it in
+// time. It returns false, and changes nothing, if the request needs the part.
+func (p *Plan) LeaveOut(index int) bool {
+	if len(p.parts)-p.failed-1 < p.MinParts {
+		return false
+	}
+	p.setFinal(&p.parts[index], failed)
+	return true
+}
+
 // HandleOutcome records the outcome of a send and returns the retry that
 // follows it, if any.
 func (p *Plan) HandleOutcome(ended Send, outcome dcbalance.Outcome, now time.Time) (sends []Send) {
@@ -238,7 +250,7 @@
 			}
 			return sends
 		}
-		part.retryAt = now.Add(retryDelay)
+		part.retryAt = now.Add(RetryDelay)
 		return sends
 	}
 	return append(sends, p.recordSend(index, call, extra, now))
--- a/internal/dcattempt/dcattempt_test.go
+++ b/internal/dcattempt/dcattempt_test.go
@@ -189,7 +189,7 @@
 			plan.HandleOutcome(sends[0], dcbalance.Answered, start)
 			servers.down = true
 		}
-		for !plan.Done(now) && now.Before(policy.AnswerBy.Add(-2*retryDelay)) {
+		for !plan.Done(now) && now.Before(policy.AnswerBy.Add(-2*RetryDelay)) {
 			now = plan.NextTick(now)
 			plan.Tick(now)
 		}
@@ -251,3 +251,24 @@
 		}
 	}
 }
+
+// TestLeaveOut guards against sends of a part that was left out, and against
+// leaving out a part that the request needs.
+func TestLeaveOut(t *testing.T) {
+	policy := testPolicy()
+	policy.MinParts = 2
+	plan := New(policy, 3, &fakeServers{})
+	if !plan.LeaveOut(1) || plan.LeaveOut(2) {
+		t.Error("not exactly one of three parts can be left out with two needed")
+	}
+	sends := plan.Start(start)
+	if len(sends) != 2 || sends[0].Part != 0 || sends[1].Part != 2 {
+		t.Fatalf("sends %v, want one each of parts 0 and 2", sends)
+	}
+	for _, send := range sends {
+		plan.HandleOutcome(send, dcbalance.Answered, start)
+	}
+	if !plan.Done(start) || !plan.Succeeded() {
+		t.Errorf("done %t, succeeded %t once the other parts are answered, want true for both", plan.Done(start), plan.Succeeded())
+	}
+}
--- a/internal/dcengine/admission.go
+++ b/internal/dcengine/admission.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/dandelioncart/dandelioncart/internal/dcattempt"
 	"github.com/dandelioncart/dandelioncart/internal/dcbalance"
 	"github.com/dandelioncart/dandelioncart/internal/dcreason"
 )
@@ -22,30 +23,53 @@
 	maxReturnDelay = 2 * time.Second
 )
 
-// admit decides whether a request may run, before anything is sent. It answers
-// three loads: too few services with a server, servers that name a rate limit
-// below the load, and servers that refuse work without one.
+// partRoom is the room that the servers of a part have.
+type partRoom struct {
+	dcbalance.Room
+	part int
+}
+
+// admit decides whether a request may run, before anything is sent. It refuses
+// requests for which too few services have a server, those for which the rate
+// limits of the servers have no room, and those that servers would refuse because
+// of overload. Parts without room that the request can do without are left out.
 func (r *run) admit(now time.Time) (refusal Reply, ok bool) {
 	minParts := r.plan.MinParts
-	rooms := make([]dcbalance.Room, 0, len(r.services))
-	for _, service := range r.services {
+	rooms := make([]partRoom, 0, len(r.services))
+	for part, service := range r.services {
 		if room := service.room(now); room.Usable > 0 {
-			rooms = append(rooms, room)
+			rooms = append(rooms, partRoom{room, part})
 		}
 	}
 	if len(rooms) < minParts {
 		return refusalReply(dcreason.NoServer), false
 	}
-	slices.SortStableFunc(rooms, func(a, b dcbalance.Room) int { return cmp.Compare(a.Wait, b.Wait) })
+	slices.SortStableFunc(rooms, func(a, b partRoom) int { return cmp.Compare(a.Wait, b.Wait) })
 	// The longest wait among the services that are needed.
 	scarcest := rooms[minParts-1]
 	if maxWait := min(maxRoomWait, time.Duration(float64(r.route.LatencyTarget)*maxRoomWaitShare)); scarcest.Wait > maxWait {
 		refusal = refusalReply(dcreason.RateLimited)
-		refusal.RetryAfter = r.state.returnAfter(scarcest, now)
+		refusal.RetryAfter = r.state.returnAfter(scarcest.Room, now)
 		return refusal, false
 	}
 	if !r.state.admit(now) {
 		return refusalReply(dcreason.Overloaded), false
 	}
+	r.leaveOut(rooms[minParts:], now)
 	return Reply{}, true
 }
+
+// leaveOut leaves out the parts whose servers will not have room in time for an
+// answer. Waiting for them would only delay the answer.
+func (r *run) leaveOut(rooms []partRoom, now time.Time) {
+	if r.plan.AnswerBy.IsZero() {
+		return
+	}
+	// A part that waits notices room up to RetryDelay late.
+	maxWait := r.plan.AnswerBy.Sub(now) - dcattempt.RetryDelay - r.state.medianLatency(now)
+	for _, room := range rooms {
+		if room.Wait > 0 && room.Wait >= maxWait && r.plan.LeaveOut(room.part) {
+			r.leftOut = append(r.leftOut, string(r.services[room.part].name))
+		}
+	}
+}
--- a/internal/dcengine/handle.go
+++ b/internal/dcengine/handle.go
@@ -164,6 +164,9 @@
 		fields = append(fields, zap.String("route", string(run.route.Name)), zap.Duration("target", run.route.LatencyTarget),
 			zap.Duration("hedge-delay", run.plan.HedgeDelay), zap.Int64("configuration", int64(run.configurationVersion)),
 			zap.Int("missing-shards", reply.MissingShards), zap.Object("sends-by-outcome", outcomeCounts{&run.sendLog}), zap.Array("sends", &run.sendLog))
+		if len(run.leftOut) > 0 {
+			fields = append(fields, zap.Strings("services-without-room", run.leftOut))
+		}
 		if reply.Code == dcreason.NoServer {
 			fields = append(fields, zap.Strings("services-without-server", run.servicesWithoutServer()))
 		}
--- a/internal/dcengine/ratelimit_test.go
+++ b/internal/dcengine/ratelimit_test.go
@@ -161,24 +161,29 @@
 	}
 }
 
-// TestQueryWithLimitedShard guards against queries that fail, or claim coverage
-// that they lack, because all servers of one shard name a limit below the load.
+// TestQueryWithLimitedShard guards against queries that fail, claim coverage that
+// they lack, or wait for room that will not come, because all servers of one
+// shard name a limit below the load.
 func TestQueryWithLimitedShard(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		sender := newLimitedSender(map[string]dcratelimit.Statement{"p2": named(10)})
 		engine := newTestEngine(t, &sender.fakeSender)
-		replies := load(t, engine, "/query/x", 10*time.Millisecond, 10*time.Second)
-		complete := 0
-		for _, reply := range replies {
+		complete, total := 0, 0
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			arrived := time.Now()
+			reply := engine.Handle(t.Context(), newTestRequest(engine, "/query/x"))
+			total++
 			if reply.Status != http.StatusOK || len(reply.Proofs)+reply.MissingShards != 4 {
 				t.Fatalf("reply %+v, want status 200 with all shards accounted for", reply)
 			}
 			if reply.MissingShards == 0 {
 				complete++
+			} else if took := time.Since(arrived); took > 2*workTime && total > 100 {
+				t.Fatalf("an answer without the shard took %v, want it as soon as the other shards have answered", took)
 			}
 		}
-		if complete == 0 || complete == len(replies) {
-			t.Errorf("%d of %d answers have all shards, want some", complete, len(replies))
+		if complete == 0 || complete == total {
+			t.Errorf("%d of %d answers have all shards, want some", complete, total)
 		}
 	})
 }
--- a/internal/dcengine/run.go
+++ b/internal/dcengine/run.go
@@ -37,8 +37,10 @@
 	lastFailure *dcforward.Answer
 	// refusedSends counts the sends that servers refused.
 	refusedSends int
-	results      chan *sendResult
-	sendLog      sendLog
+	// leftOut holds the services whose rate limits had no room for this request.
+	leftOut []string
+	results chan *sendResult
+	sendLog sendLog
 	// sends tracks the sends in progress.
 	sends sync.WaitGroup
 }
