Guard against a rate limit that changes with each answer

Cause: of the cases of a limit from outside, the one that changes from answer to answer had no test.

--- a/internal/dcengine/ratelimit_test.go
+++ b/internal/dcengine/ratelimit_test.go
@@ -118,6 +118,32 @@
 	}
 }
 
+// TestChangingRateLimit guards against a limit that changes with each answer and
+// is then exceeded, stops the requests for good, or fills the log.
+func TestChangingRateLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const low, high, seconds = 1, 40, 12
+		sender := newLimitedSender(nil)
+		engine := newTestEngine(t, &sender.fakeSender)
+		core, logs := observer.New(zap.InfoLevel)
+		engine.service("p1").log = zap.New(core)
+		for i, end := 0, time.Now().Add(seconds*time.Second); time.Now().Before(end); i++ {
+			sender.setLimits(map[string]dcratelimit.Statement{"p1": named([]dcratelimit.Rate{low, high}[i%2])})
+			engine.Handle(t.Context(), newTestRequest(engine, "/safe/x"))
+			time.Sleep(5 * time.Millisecond)
+		}
+		for server, arrivals := range sender.arrivals {
+			// This host is one of two.
+			if most := sender.most(server); float64(most) > 3*high+5 || len(arrivals) < low*seconds/2 {
+				t.Errorf("%d sends to %s within %v, %d in all, want at most %d and at least %d", most, server, dcratelimit.Window, len(arrivals), 3*high+5, low*seconds/2)
+			}
+		}
+		if lines := logs.Len(); lines > 2*seconds+2 {
+			t.Errorf("%d log lines in %d s for two servers, want at most one a second for each", lines, seconds)
+		}
+	})
+}
+
 // TestRateLimitIgnored guards against answers that set or end a limit although
 // they say nothing of it: those that are no number, refusals and requests that
 // were lost.
