Wait for the end of accepting before a stop counts connections

What callers saw: a request on a connection that was accepted in the last moment of a planned stop got no answer. Cause: Drain waited 20 ms for the last connections and then looked for those without an answer. When the goroutine that accepts gets no processor in time, it tracks a connection after that look, and Close cuts it off. Change: Drain waits until Serve has ended to accept, after which all connections are tracked, and only then looks for requests. No check was changed.

--- a/internal/dclistener/dclistener.go
+++ b/internal/dclistener/dclistener.go
@@ -37,6 +37,9 @@
 	Clock    clockwork.Clock
 
 	draining atomic.Bool
+	// acceptEnded is closed when Serve accepts no more connections.
+	acceptEnded     chan struct{}
+	acceptEndedOnce sync.Once
 
 	mu sync.Mutex
 	// busy holds the connections with a request in progress, and those without a
@@ -54,9 +57,15 @@
 			next(conn, state)
 		}
 	}
+	defer close(s.acceptEnd())
 	return s.Server.Serve(acceptor{TCPListener: s.Listener, draining: &s.draining})
 }
 
+func (s *Server) acceptEnd() chan struct{} {
+	s.acceptEndedOnce.Do(func() { s.acceptEnded = make(chan struct{}) })
+	return s.acceptEnded
+}
+
 // Drain stops to accept connections, answers the requests of those that were
 // accepted, each with a request to close the connection, and returns when all
 // are answered. It fails with the error of ctx if that ends first.
@@ -67,19 +76,22 @@
 		return err
 	}
 	s.SetKeepAlivesEnabled(false)
-	started := s.Clock.Now()
+	// Until then a connection may be accepted that is not tracked yet.
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-s.acceptEnd():
+	}
 	ticker := s.Clock.NewTicker(pollInterval)
 	defer ticker.Stop()
-	for {
+	for s.hasRequests() {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.Chan():
 		}
-		if s.Clock.Since(started) > acceptTime && !s.hasRequests() {
-			return nil
-		}
 	}
+	return nil
 }
 
 // track records the state of a connection.
