--- a/internal/dcbalance/ratelimit.go
+++ b/internal/dcbalance/ratelimit.go
@@ -16,7 +16,7 @@
 	dcratelimit.Share
 	// reportedAt is the time of the last change that was reported.
 	reportedAt time.Time
-	// malformed is set while the server names limits that are none.
+	// malformed is set while the server sends values that are not a limit.
 	malformed bool
 }
 
@@ -32,14 +32,14 @@
 	RateLimitNamed
 	// RateLimitEnded is the first answer that names no limit any more.
 	RateLimitEnded
-	// RateLimitMalformed is the first answer that names something that is no limit.
+	// RateLimitMalformed is the first answer with a value that is not a limit.
 	RateLimitMalformed
 )
 
 // RecordRateLimit records what an answer says of the rate limit of its server.
 // It returns this host's share, for RateLimitEnded as it was before the end. An
 // answer ends a limit only if the server ran the request: a refusal may come from
-// a queue that knows no limits. An answer to a request that was sent before the
+// a queue that does not set the field. An answer to a request that was sent before the
 // limit was last named does not end it either.
 func (g *Group) RecordRateLimit(call *Call, outcome Outcome, statement dcratelimit.Statement, place dcratelimit.Place, now time.Time) (share dcratelimit.Share, change RateLimitChange) {
 	limit := &call.serverState.rateLimit
--- a/internal/dcratelimit/dcratelimit.go
+++ b/internal/dcratelimit/dcratelimit.go
@@ -21,8 +21,7 @@
 	// to a server that names a lower limit. An answer shows whether the limit still
 	// holds; without requests there is none.
 	minRate = 0.5
-	// maxRate is the largest limit that is told apart from no limit, in requests a
-	// second. It keeps the arithmetic finite.
+	// maxRate caps limits, in requests a second, so that the arithmetic stays finite.
 	maxRate = 1e6
 	// askAllowance is the part of windowAllowance that is left to hosts without a
 	// share, in requests a window.
--- a/internal/dcratelimit/statement.go
+++ b/internal/dcratelimit/statement.go
@@ -19,8 +19,8 @@
 	Absent
 	// Named means that the answer names a limit.
 	Named
-	// Malformed means that the answer names something that is no limit. The limit
-	// that was known before holds on.
+	// Malformed means that the value is not a limit. The limit that was known before
+	// stays in force.
 	Malformed
 )
 
