Count extra sends until their arrival is certain

Cause: a host keeps the bound at the time at which it decides to send, and a server counts arrivals. A send that waits for a connection arrives up to the dial timeout later. The sliding window gives the extras of a burst back exactly one span after it, so a burst that arrives late and the next one that arrives at once lie within one span at the server.

Change: extras count for a span plus the longest delay of a send.

Evidence: TestWindowLateArrivals counts 663 arrivals where 456 are allowed with the window of before, and keeps the bound now. TestWindowShare, which asks for nine tenths of the ratio in the long run, passes with the delay set.

--- a/internal/dcbudget/window.go
+++ b/internal/dcbudget/window.go
@@ -8,8 +8,8 @@
 	// it contains whole, which costs about two buckets of the ratio.
 	spanBuckets = 50
 	// windowBuckets is the number of buckets that are kept: those of the window
-	// that ends now and of the span before it.
-	windowBuckets = 2 * spanBuckets
+	// that ends now, of the span before it, and of extras that arrive late.
+	windowBuckets = 3 * spanBuckets
 	// ratioShare is the fraction of the ratio that is used. The rest covers
 	// requests that callers sent on a route that was being changed, and the time
 	// from a caller to a host and from a host to a server.
@@ -33,10 +33,18 @@
 // listed. A host that counted the larger of the two spans would not keep that: a
 // request that moved away would count at one host before it moved and another
 // would count at the other host after it moved.
+//
+// Servers count extras when they arrive, up to MaxDelay after they were recorded
+// here. Extras therefore count for that much longer than a span. Otherwise a
+// burst that arrives late and the one that is granted a span after it would lie
+// within the same span at the servers.
 type SlidingWindow struct {
 	Span  time.Duration
 	Ratio float64
 	Slack float64
+	// MaxDelay is the longest time from the decision to send an extra to its
+	// arrival at a server, at most Span.
+	MaxDelay time.Duration
 	// Started is the start of the process. For one span after it only the ratio
 	// counts, because the process may have spent its slack before a restart.
 	Started time.Time
@@ -79,17 +87,17 @@
 	// one, so the requests of the newest one do not count for it.
 	newest := w.aged(0)
 	left := 0.0
-	for age := range spanBuckets + 1 {
+	for age := range spanBuckets + w.lateBuckets() + 1 {
 		extra += w.aged(age).extra
 		counted := requests
-		if age == spanBuckets {
+		if age >= spanBuckets {
 			counted -= newest.requests
 		}
 		allowed := w.Ratio * ratioShare / 2 * float64(counted)
 		if atStart := allowed - float64(extra); age == 0 || atStart < left {
 			left = atStart
 		}
-		if next := age + spanBuckets; next < windowBuckets {
+		if next := age + spanBuckets; next < 2*spanBuckets {
 			requests += w.aged(next).requests
 		}
 	}
@@ -99,6 +107,12 @@
 	return left
 }
 
+// lateBuckets returns the number of buckets that cover MaxDelay.
+func (w *SlidingWindow) lateBuckets() int {
+	width := w.Span / spanBuckets
+	return int(min((w.MaxDelay+width-1)/width, spanBuckets))
+}
+
 // aged returns the bucket that is the given number of buckets older than the
 // newest one.
 func (w *SlidingWindow) aged(age int) windowBucket {
--- a/internal/dcbudget/window_test.go
+++ b/internal/dcbudget/window_test.go
@@ -181,7 +181,7 @@
 		ratio = 0.2
 		gap   = 10 * time.Millisecond
 	)
-	w := &SlidingWindow{Span: span, Ratio: ratio, Started: start}
+	w := &SlidingWindow{Span: span, Ratio: ratio, MaxDelay: 500 * time.Millisecond, Started: start}
 	now, extras := start, 0
 	for ; now.Sub(start) < 3*span; now = now.Add(gap) {
 		w.RecordRequest(now)
@@ -225,3 +225,41 @@
 		t.Error("the slack was not granted one span after the start")
 	}
 }
+
+// TestWindowLateArrivals guards against extra sends above the limit at the
+// servers when those of one burst arrive late and those of the next one at once.
+func TestWindowLateArrivals(t *testing.T) {
+	const (
+		hosts        = 4
+		span         = 10 * time.Second
+		maxDelay     = 500 * time.Millisecond
+		ratio, slack = 0.2, 56.0
+		requestGap   = 5 * time.Millisecond
+		trouble      = 15 * time.Second
+		length       = 60 * time.Second
+	)
+	windows := make([]SlidingWindow, hosts)
+	for i := range windows {
+		windows[i] = SlidingWindow{Span: span, Ratio: ratio, Slack: slack, MaxDelay: maxDelay, Started: start.Add(-span)}
+	}
+	var requests, arrivals []time.Time
+	for at := time.Duration(0); at < length; at += requestGap {
+		now := start.Add(at)
+		requests = append(requests, now)
+		windows[len(requests)%hosts].RecordRequest(now)
+		if at < trouble {
+			continue
+		}
+		delay := time.Duration(0)
+		if (at-trouble)%(2*span) < span/2 {
+			delay = maxDelay
+		}
+		for i := range windows {
+			for takeExtra(&windows[i], hosts, now) {
+				arrivals = append(arrivals, now.Add(delay))
+			}
+		}
+	}
+	slices.SortFunc(arrivals, time.Time.Compare)
+	checkWindowBound(t, "late arrivals", requests, arrivals, span, ratio, slack)
+}
--- a/internal/dcengine/dcengine.go
+++ b/internal/dcengine/dcengine.go
@@ -56,6 +56,9 @@
 	Slack float64
 	// Span is the length of the sliding window to which the limit applies.
 	Span time.Duration
+	// MaxDelay is the longest time from the decision to send to the arrival at a
+	// server.
+	MaxDelay time.Duration
 }
 
 // Engine answers requests. Set the exported fields before the first call.
--- a/internal/dcengine/service.go
+++ b/internal/dcengine/service.go
@@ -40,7 +40,7 @@
 		meter: meter,
 		log:   log,
 		group: dcbalance.Group{Domain: domain, Random: random},
-		extra: dcbudget.SlidingWindow{Span: extra.Span, Ratio: extra.Ratio, Slack: extra.Slack, Started: started},
+		extra: dcbudget.SlidingWindow{Span: extra.Span, Ratio: extra.Ratio, Slack: extra.Slack, MaxDelay: extra.MaxDelay, Started: started},
 	}
 }
 
