Keep the share of a host that has left out of use for a while

What servers saw: possibly more extra sends than the ratio and the slack allow. Two of four hosts that leave for good after they used their shares of the slack free them at once, and the other two use them again within the same ten seconds: 63 in all where 56 are allowed.

Cause: Sharers counted hosts whose lease had expired for 30 s, but not those that had said that they leave.

Change: all hosts that are gone count for the same time.

Test: TestSharers expected a host that left to free its share at once, which was wrong; it now expects the share to stay out of use like that of a lapsed host, and fails on the code before (2 sharers, want 3).

--- a/internal/dcroster/dcroster.go
+++ b/internal/dcroster/dcroster.go
@@ -39,8 +39,8 @@
 	renewTimeout = time.Second
 	// confirmationTime is how long a host uses its share of what the hosts divide
 	// among them, after its last renewal that the store answered. For the same
-	// time the other hosts count a host whose lease has expired, so that they do
-	// not divide its share while it may still use it.
+	// time the other hosts count a host that is gone, so that they do not divide
+	// its share while it may still use it or has just done so.
 	confirmationTime = 30 * time.Second
 )
 
@@ -61,9 +61,9 @@
 
 	mu    sync.Mutex
 	peers map[dcid.HostID]*peer
-	// expired holds the time at which this host learned that the lease of a host
-	// had expired, for hosts that ended without leaving.
-	expired map[dcid.HostID]time.Time
+	// departed holds the time at which this host learned that the record of a host
+	// was gone.
+	departed map[dcid.HostID]time.Time
 	// confirmedAt is the time at which the last renewal that the store answered
 	// was sent, zero before the first.
 	confirmedAt time.Time
@@ -188,7 +188,7 @@
 	}
 	same := proto.Equal(other.record, host)
 	other.record = host
-	delete(r.expired, id)
+	delete(r.departed, id)
 	other.listed = other.listed || listed
 	if !listed {
 		other.lastSeen = r.Clock.Now()
@@ -240,13 +240,13 @@
 func (r *Roster) Remove(key string) {
 	id := r.hostIDFromKey(key)
 	r.mu.Lock()
-	removed, ok := r.peers[id]
+	_, ok := r.peers[id]
 	delete(r.peers, id)
-	if ok && removed.record.GetState() != hostv1.State_STATE_LEAVING {
-		if r.expired == nil {
-			r.expired = make(map[dcid.HostID]time.Time)
+	if ok {
+		if r.departed == nil {
+			r.departed = make(map[dcid.HostID]time.Time)
 		}
-		r.expired[id] = r.Clock.Now()
+		r.departed[id] = r.Clock.Now()
 	}
 	r.mu.Unlock()
 	if ok {
@@ -292,8 +292,9 @@
 }
 
 // Sharers returns the number of hosts among which a quantity is divided that all
-// hosts together must not exceed. It includes hosts whose lease has expired, for
-// confirmationTime. It returns 0 while this host may not use a share: before the
+// hosts together must not exceed in a span of time. It includes hosts that are
+// gone, for confirmationTime: one whose lease has expired may still use its share,
+// and one that left has used its share in the span that ends. It returns 0 while this host may not use a share: before the
 // list has been read, and after the store has not confirmed its lease for
 // confirmationTime.
 func (r *Roster) Sharers() int {
@@ -303,12 +304,12 @@
 	if !r.synced || r.confirmedAt.IsZero() || elapsedAtMost(r.confirmedAt, now) >= confirmationTime {
 		return 0
 	}
-	for id, at := range r.expired {
+	for id, at := range r.departed {
 		if now.Sub(at) >= confirmationTime {
-			delete(r.expired, id)
+			delete(r.departed, id)
 		}
 	}
-	return len(r.presentPeers()) + len(r.expired) + 1
+	return len(r.presentPeers()) + len(r.departed) + 1
 }
 
 // elapsedAtMost returns the time from one moment to a later one, by the
--- a/internal/dcroster/dcroster_test.go
+++ b/internal/dcroster/dcroster_test.go
@@ -141,8 +141,9 @@
 }
 
 // TestSharers guards against a share that two hosts use: that of a host which is
-// cut off, still serves and is no longer listed, and against a host that is cut
-// off, or was suspended, and uses its share for longer than the others count it.
+// cut off, still serves and is no longer listed, and that of a host which has
+// left after it used its share. It also guards against a host that is cut off, or
+// was suspended, and uses its share for longer than the others count it.
 func TestSharers(t *testing.T) { synctest.Test(t, testSharers) }
 
 func testSharers(t *testing.T) {
@@ -169,21 +170,21 @@
 	expect("two other hosts", 3)
 	roster.Remove("hosts/h2")
 	roster.Remove("hosts/h3")
-	expect("the lease of h2 expired, h3 left", 2)
+	expect("the lease of h2 expired, h3 left", 3)
 	if got := roster.Count(); got != 1 {
 		t.Errorf("%d hosts are counted, want 1", got)
 	}
 	roster.Put(newStoreRecord(t, newHostRecord("h2", hostv1.State_STATE_SERVING)))
-	expect("h2 is back", 2)
+	expect("h2 is back", 3)
 	roster.Remove("hosts/h2")
 	time.Sleep(confirmationTime - time.Nanosecond)
-	expect("just before h2 stops using its share", 2)
+	expect("just before the shares of h2 and h3 are free", 3)
 	time.Sleep(time.Nanosecond)
 	expect("without a renewal", 0)
 	// The lease has expired with the record.
 	roster.RemovalPending("hosts/h1")
 	renew()
-	expect("h2 has stopped using its share", 1)
+	expect("the shares of h2 and h3 are free", 1)
 }
 
 // TestSharersAfterSuspension guards against a host that was suspended and acts
