Count first sends, sharers of the slack and delayed sends

Added: service_first_sends and service_delayed_sends for each service, the gauge extra_sends_sharers, and the wait of a send in the log line of its request. TestServiceCounters checks them and fails without them.

--- a/internal/dcconnpool/pool.go
+++ b/internal/dcconnpool/pool.go
@@ -37,7 +37,7 @@
 // Pool sends requests over persistent connections. Set the exported fields
 // before the first call. It is safe for concurrent use.
 type Pool struct {
-	// Clock is not used by the pool itself, but by clients that embed it.
+	// Clock is also used by clients that embed the pool.
 	Clock clockwork.Clock
 	// DefaultLimit is the maximum number of connections to a server for which
 	// SetLimit was not called; 1 when 0.
@@ -103,7 +103,7 @@
 func (p *Pool) RoundTrip(addr dcid.ServerAddr, request *http.Request) (*http.Response, *Exchange, error) {
 	target := p.server(addr)
 	ctx, cancel := context.WithCancelCause(request.Context())
-	exchange := &Exchange{server: target, cancel: cancel}
+	exchange := &Exchange{server: target, cancel: cancel, clock: p.Clock, startedAt: p.Clock.Now()}
 	request = request.WithContext(exchange.trace(ctx))
 	request.Close = target.overLimit()
 	response, err := p.roundTripper().RoundTrip(request)
@@ -125,8 +125,15 @@
 	writesBefore    atomic.Int64
 	dialled         atomic.Bool
 	responseStarted atomic.Bool
+	clock           clockwork.Clock
+	startedAt       time.Time
+	// waited is the time, in nanoseconds, until the request was assigned to conn.
+	waited atomic.Int64
 }
 
+// Waited returns how long the request waited for a connection, 0 if it got none.
+func (e *Exchange) Waited() time.Duration { return time.Duration(e.waited.Load()) }
+
 // Dialled reports whether the request was sent on a new connection.
 func (e *Exchange) Dialled() bool { return e.dialled.Load() }
 
@@ -160,6 +167,7 @@
 				return
 			}
 			e.writesBefore.Store(conn.writes.Load())
+			e.waited.Store(int64(e.clock.Since(e.startedAt)))
 			e.conn.Store(conn)
 			e.dialled.Store(!info.Reused)
 			e.server.setIdle(conn, false)
--- a/internal/dcengine/handle.go
+++ b/internal/dcengine/handle.go
@@ -102,6 +102,7 @@
 	now := e.Clock.Now()
 	state := e.routes.get(route.Name)
 	r := &run{engine: e, request: request, route: route, state: state, sharers: e.Hosts.Sharers()}
+	e.Meter.extraSharers.Update(float64(r.sharers))
 	names := route.Shards
 	if len(names) == 0 {
 		names = []dcid.ServiceName{state.chooseService(route.Split)}
--- a/internal/dcengine/meter.go
+++ b/internal/dcengine/meter.go
@@ -21,6 +21,8 @@
 	unresponsive   tally.Counter
 	extra          tally.Counter
 	partialAnswers tally.Counter
+	// extraSharers is the number of hosts that share the slack of the extra sends.
+	extraSharers tally.Gauge
 }
 
 // NewMeter creates the metrics of an engine in a scope.
@@ -32,6 +34,7 @@
 		unresponsive:         scope.Counter("silent_sends"),
 		extra:                scope.Counter("extra_sends"),
 		partialAnswers:       scope.Counter("answers_without_all_shards"),
+		extraSharers:         scope.Gauge("extra_sends_sharers"),
 	}
 }
 
@@ -43,18 +46,25 @@
 
 // serviceCounters holds the counters of the budget of extra sends of a service.
 type serviceCounters struct {
-	// requests counts the requests that the budget grows with, extra counts the
-	// extra sends, and extraDenied those that the budget did not allow.
-	requests, extra, extraDenied tally.Counter
+	// requests counts the requests that the budget grows with, first the first
+	// sends, extra the extra sends, and extraDenied those that the budget did not
+	// allow. delayed counts sends that waited for a connection for delayedSend or
+	// longer.
+	requests, first, extra, extraDenied, delayed tally.Counter
 }
 
+// delayedSend is the wait for a connection from which a send counts as delayed.
+const delayedSend = 100 * time.Millisecond
+
 // service returns the counters of a service.
 func (m *Meter) service(name dcid.ServiceName) *serviceCounters {
 	scope := m.scope.Tagged(map[string]string{"service": string(name)})
 	return &serviceCounters{
 		requests:    scope.Counter("service_requests"),
+		first:       scope.Counter("service_first_sends"),
 		extra:       scope.Counter("service_extra_sends"),
 		extraDenied: scope.Counter("service_extra_sends_denied"),
+		delayed:     scope.Counter("service_delayed_sends"),
 	}
 }
 
--- a/internal/dcengine/meter_test.go
+++ b/internal/dcengine/meter_test.go
@@ -18,7 +18,9 @@
 		if count == 1 || count == 3 {
 			return dcforward.Answer{Outcome: dcbalance.Lost}
 		}
-		return answeredBy(server)
+		answer := answeredBy(server)
+		answer.Waited = delayedSend
+		return answer
 	}}
 	engine := newTestEngine(t, sender)
 	scope := tally.NewTestScope("", nil)
@@ -32,11 +34,14 @@
 	engine.Handle(t.Context(), newTestRequest(engine, "/safe/x"))
 	engine.Handle(t.Context(), newTestRequest(engine, "/safe/x"))
 	counters := scope.Snapshot().Counters()
-	for name, want := range map[string]int64{"service_requests": 2, "service_extra_sends": 1} {
+	for name, want := range map[string]int64{"service_requests": 2, "service_first_sends": 2, "service_extra_sends": 1, "service_delayed_sends": 1} {
 		if counter := counters[name+"+service=p1"]; counter == nil || counter.Value() != want {
 			t.Errorf("%s of p1: %v, want %d", name, counter, want)
 		}
 	}
+	if gauge := scope.Snapshot().Gauges()["extra_sends_sharers+"]; gauge == nil || gauge.Value() != 2 {
+		t.Errorf("extra_sends_sharers: %v, want 2", gauge)
+	}
 	if counter := counters["service_extra_sends_denied+service=p1"]; counter == nil || counter.Value() == 0 {
 		t.Error("the denied retry of the second request is not counted")
 	}
--- a/internal/dcengine/send_log.go
+++ b/internal/dcengine/send_log.go
@@ -37,7 +37,9 @@
 	code         dcreason.Code
 	status       int
 	elapsed      time.Duration
-	err          error
+	// waited is the time until the send got a connection.
+	waited time.Duration
+	err    error
 }
 
 // started adds an entry for a send that starts.
@@ -53,7 +55,7 @@
 func (l *sendLog) ended(e *sendEntry, answer *dcforward.Answer, elapsed time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e.done, e.outcome, e.code, e.status, e.elapsed, e.err = true, answer.Outcome, answer.Code, answer.Status, elapsed, answer.Err
+	e.done, e.outcome, e.code, e.status, e.elapsed, e.waited, e.err = true, answer.Outcome, answer.Code, answer.Status, elapsed, answer.Waited, answer.Err
 }
 
 const (
@@ -63,6 +65,8 @@
 	// maxLoggedSends limits the sends in a log line. One send takes up to 250
 	// bytes, and a log collector may truncate lines at 8 KiB.
 	maxLoggedSends = 24
+	// minLoggedWait is the shortest wait for a connection that is logged.
+	minLoggedWait = time.Millisecond
 )
 
 // MarshalLogArray implements zapcore.ArrayMarshaler. For requests with many
@@ -130,6 +134,9 @@
 		return nil
 	}
 	encoder.AddDuration("elapsed", e.elapsed)
+	if e.waited >= minLoggedWait {
+		encoder.AddDuration("waited", e.waited)
+	}
 	if e.status != 0 {
 		encoder.AddInt("status", e.status)
 	}
--- a/internal/dcengine/service.go
+++ b/internal/dcengine/service.go
@@ -94,9 +94,12 @@
 		return nil, false
 	}
 	call, ok := s.group.Pick(exclude, extra, now)
-	if ok && extra {
+	switch {
+	case ok && extra:
 		s.extra.RecordExtra(now)
 		s.metrics().extra.Inc(1)
+	case ok:
+		s.metrics().first.Inc(1)
 	}
 	return call, ok
 }
@@ -131,6 +134,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.group.RecordOutcome(call, answer.Outcome, medianLatency, now)
+	if answer.Waited >= delayedSend {
+		s.metrics().delayed.Inc(1)
+	}
 	if answer.RateLimit.Kind != dcratelimit.Unknown {
 		s.recordRateLimit(call, answer, place, now)
 	}
--- a/internal/dcforward/dcforward.go
+++ b/internal/dcforward/dcforward.go
@@ -54,6 +54,8 @@
 	// unknown unless the head of a response to this request was read from the
 	// server that was meant.
 	RateLimit dcratelimit.Statement
+	// Waited is how long the request waited for a connection, 0 if it got none.
+	Waited time.Duration
 	// Err is the cause of a missing or incomplete response; it may be nil.
 	Err error
 }
@@ -98,7 +100,7 @@
 
 // Send sends the request once and waits for the complete response until ctx
 // ends. left is the time that the server has for the request.
-func (c *Client) Send(ctx context.Context, server dcbalance.Server, request *Request, left time.Duration) Answer {
+func (c *Client) Send(ctx context.Context, server dcbalance.Server, request *Request, left time.Duration) (answer Answer) {
 	release, err := c.Pool.Acquire(ctx, server.Addr)
 	if err != nil {
 		return Answer{Outcome: dcbalance.Refused, Code: dcreason.QueueFull, Err: err}
@@ -107,6 +109,7 @@
 	header := request.Header.Clone()
 	c.Codec.Encode(header, request, server, left)
 	response, exchange, err := c.Pool.RoundTrip(server.Addr, newRequest(ctx, server, request, header))
+	defer func() { answer.Waited = exchange.Waited() }()
 	if err != nil {
 		return classify(ctx, exchange, err)
 	}
