Follow the Retry-After of servers that refuse requests

What callers see: requests that wait, or use up the extra sends of a shard, for servers that have said that they want none for a time.

Cause: Retry-After of a server was not read. A refused server was avoided for 50 ms while others were left, and used again at once if it was the last one.

Change: a delay in seconds on a 503 or 429 of the server that was meant keeps all sends of the host away from it: first sends, retries and hedges. A service whose servers all want nothing refuses requests at once, with the time until the first of them takes requests again; a query leaves such a shard out if it can. Not followed: values that are absent, empty, negative, contradictory, not decimal, a date, and those on other statuses.

--- a/internal/dcattempt/dcattempt.go
+++ b/internal/dcattempt/dcattempt.go
@@ -40,6 +40,9 @@
 	// HedgeDelay is the time without an answer after which a part is also sent
 	// to another server; 0 turns hedging off.
 	HedgeDelay time.Duration
+	// MaxWait is the longest wait for servers of a part that want no sends for a
+	// time; the part fails if they want none for longer.
+	MaxWait time.Duration
 }
 
 // Servers selects the servers to send to.
@@ -48,6 +51,9 @@
 	// extra send also needs budget of the service. It returns false if no
 	// server or no budget is available.
 	Pick(part int, exclude []dcid.ServerID, extra bool, now time.Time) (*dcbalance.Call, bool)
+	// Wait returns how long all servers of a part want no sends, 0 if one of them
+	// takes some.
+	Wait(part int, now time.Time) time.Duration
 	// MarkUnresponsive reports a call without an answer after the hedge delay.
 	MarkUnresponsive(part int, call *dcbalance.Call, now time.Time)
 }
@@ -244,18 +250,26 @@
 		if extra || !now.Before(p.AnswerBy) || !p.MayHaveRun() {
 			part.refused++
 		}
-		if part.refused > p.MaxAttempts+refusalRetries {
+		wait := p.servers.Wait(index, now)
+		if part.refused > p.MaxAttempts+refusalRetries || wait > p.MaxWait || p.tooLate(now.Add(wait)) {
 			if len(part.inFlight) == 0 {
 				p.setFinal(part, failed)
 			}
 			return sends
 		}
-		part.retryAt = now.Add(RetryDelay)
+		part.retryAt = now.Add(max(wait, RetryDelay))
 		return sends
 	}
 	return append(sends, p.recordSend(index, call, extra, now))
 }
 
+// tooLate reports whether a send at the given time comes too late for the answer:
+// after the deadline, or after AnswerBy if the request can do without a part.
+func (p *Plan) tooLate(at time.Time) bool {
+	canLeaveOut := len(p.parts)-p.failed > p.MinParts
+	return !at.Before(p.Deadline) || canLeaveOut && !p.AnswerBy.IsZero() && !at.Before(p.AnswerBy)
+}
+
 // hedge sends a part to another server while earlier calls are unanswered.
 func (p *Plan) hedge(sends []Send, index int, now time.Time) []Send {
 	part := &p.parts[index]
--- a/internal/dcattempt/dcattempt_test.go
+++ b/internal/dcattempt/dcattempt_test.go
@@ -18,6 +18,7 @@
 	budget       int
 	down         bool
 	unresponsive int
+	wait         time.Duration
 }
 
 func (f *fakeServers) Pick(_ int, exclude []dcid.ServerID, extra bool, _ time.Time) (*dcbalance.Call, bool) {
@@ -36,12 +37,14 @@
 	return nil, false
 }
 
+func (f *fakeServers) Wait(int, time.Time) time.Duration { return f.wait }
+
 func (f *fakeServers) MarkUnresponsive(int, *dcbalance.Call, time.Time) { f.unresponsive++ }
 
 func testPolicy() Policy {
 	return Policy{
 		Idempotent: true, MaxAttempts: 2, MinParts: 1,
-		Deadline: start.Add(time.Second), HedgeDelay: 30 * time.Millisecond,
+		Deadline: start.Add(time.Second), HedgeDelay: 30 * time.Millisecond, MaxWait: 100 * time.Millisecond,
 	}
 }
 
@@ -272,3 +275,38 @@
 		t.Errorf("done %t, succeeded %t once the other parts are answered, want true for both", plan.Done(start), plan.Succeeded())
 	}
 }
+
+// TestServersWantNoSends guards against holding a request, or a query until its
+// partial answer, when all servers of a part want no sends for longer, and against
+// giving up when they take some in time.
+func TestServersWantNoSends(t *testing.T) {
+	for name, c := range map[string]struct {
+		answerBy time.Duration
+		wait     time.Duration
+		atOnce   bool
+	}{
+		"for long":                       {0, 101 * time.Millisecond, true},
+		"until after the partial answer": {80 * time.Millisecond, 90 * time.Millisecond, true},
+		"for a moment":                   {80 * time.Millisecond, 70 * time.Millisecond, false},
+	} {
+		policy := testPolicy()
+		policy.HedgeDelay = 0
+		if c.answerBy > 0 {
+			policy.AnswerBy = start.Add(c.answerBy)
+		}
+		servers := &fakeServers{budget: 9}
+		plan := New(policy, 2, servers)
+		sends := plan.Start(start)
+		servers.down, servers.wait = true, c.wait
+		if next := plan.HandleOutcome(sends[1], dcbalance.Refused, start); len(next) > 0 {
+			t.Errorf("%s: %d sends to servers that want none", name, len(next))
+		}
+		plan.HandleOutcome(sends[0], dcbalance.Answered, start)
+		if plan.Done(start) != c.atOnce {
+			t.Errorf("%s: done %t, want %t", name, plan.Done(start), c.atOnce)
+		}
+		if next := plan.NextTick(start); !c.atOnce && !next.Equal(start.Add(c.wait)) {
+			t.Errorf("%s: next try after %v, want %v", name, next.Sub(start), c.wait)
+		}
+	}
+}
--- a/internal/dcbalance/dcbalance.go
+++ b/internal/dcbalance/dcbalance.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/dandelioncart/dandelioncart/internal/dchold"
 	"github.com/dandelioncart/dandelioncart/internal/dcid"
 )
 
@@ -133,6 +134,8 @@
 	misdirected bool
 	// rateLimit is this host's share of the rate limit that the server names.
 	rateLimit rateLimit
+	// hold is the time for which the server wants no requests of this host.
+	hold dchold.Hold
 }
 
 // Group holds the servers of one service. It is not safe for concurrent use; the
@@ -179,15 +182,15 @@
 }
 
 // Pick starts a call to the best server that is not excluded. Servers that are
-// backing off are selected only if no other is left. A server that names a rate
-// limit is selected only within this host's share of it; extra is set for hedges
+// backing off are selected only if no other is left, and servers that want no
+// requests for a time are not selected within it. A server that names a rate limit is selected only within this host's share of it; extra is set for hedges
 // and retries, which leave the last request of a share to first sends. Pick
 // returns false if no server is available.
 func (g *Group) Pick(exclude []dcid.ServerID, extra bool, now time.Time) (call *Call, ok bool) {
 	var best *serverState
 	var bestRank rank
 	for _, server := range g.servers {
-		if !server.usable() || g.full(server) || slices.Contains(exclude, server.ID) {
+		if !server.usable() || server.hold.Remaining(now) > 0 || g.full(server) || slices.Contains(exclude, server.ID) {
 			continue
 		}
 		if !server.rateLimit.Available(extra, now) {
@@ -241,6 +244,18 @@
 	if outcome == Answered || outcome == Refused || outcome == Failed {
 		server.unresponsive = false
 	}
+	if outcome == Answered {
+		server.hold.Accept(call.started)
+	}
+}
+
+// RecordDelay records for how long the server that answered a call wants no
+// further requests of this host. It reports whether that begins now.
+func (g *Group) RecordDelay(call *Call, delay time.Duration, now time.Time) (begins bool) {
+	hold := &call.serverState.hold
+	begins = hold.Remaining(now) == 0
+	hold.Refuse(delay, call.started, now)
+	return begins && hold.Remaining(now) > 0
 }
 
 func (g *Group) full(server *serverState) bool {
--- a/internal/dcbalance/ratelimit.go
+++ b/internal/dcbalance/ratelimit.go
@@ -1,7 +1,6 @@
 package dcbalance
 
 import (
-	"math"
 	"time"
 
 	"github.com/dandelioncart/dandelioncart/internal/dcratelimit"
@@ -64,43 +63,3 @@
 	}
 	return limit.Share, change
 }
-
-// Room tells when the servers of a service have room for more requests.
-type Room struct {
-	// Usable is the number of servers that are neither leaving nor misdirected.
-	Usable int
-	// Wait is the time until the rate limits of the servers allow one more request
-	// of this host, 0 if one of them does, or has no limit.
-	Wait time.Duration
-	// Rate is the rate at which the limits allow requests of this host, 0 if a
-	// server has no limit.
-	Rate dcratelimit.Rate
-}
-
-// Room returns when the rate limits of the servers allow a request after those
-// that are waiting already.
-func (g *Group) Room(waiting int, now time.Time) (room Room) {
-	tokens, unlimited := 0, false
-	first := time.Duration(math.MaxInt64)
-	for _, server := range g.servers {
-		if !server.usable() {
-			continue
-		}
-		room.Usable++
-		if !server.rateLimit.Limited() {
-			unlimited = true
-			continue
-		}
-		tokens += server.rateLimit.Tokens(now)
-		first = min(first, server.rateLimit.Wait(now))
-		room.Rate += server.rateLimit.Rate()
-	}
-	if unlimited {
-		room.Rate = 0
-	}
-	if unlimited || room.Usable == 0 || tokens > waiting {
-		return room
-	}
-	room.Wait = first + dcratelimit.Duration(float64(waiting-tokens), room.Rate)
-	return room
-}
--- a/internal/dcengine/admission.go
+++ b/internal/dcengine/admission.go
@@ -8,6 +8,7 @@
 	"github.com/dandelioncart/dandelioncart/internal/dcattempt"
 	"github.com/dandelioncart/dandelioncart/internal/dcbalance"
 	"github.com/dandelioncart/dandelioncart/internal/dcreason"
+	"github.com/dandelioncart/dandelioncart/internal/dcroute"
 )
 
 const (
@@ -21,6 +22,9 @@
 	// part of the time that they have, so a longer delay has no effect.
 	minReturnDelay = 20 * time.Millisecond
 	maxReturnDelay = 2 * time.Second
+	// returnRate is the number of callers a second of one host that return after
+	// the servers wanted no requests for a time.
+	returnRate = 100
 )
 
 // partRoom is the room that the servers of a part have.
@@ -30,25 +34,19 @@
 }
 
 // admit decides whether a request may run, before anything is sent. It refuses
-// requests for which too few services have a server, those for which the rate
-// limits of the servers have no room, and those that servers would refuse because
+// requests for which too few services have a server, those for which the servers
+// have no room because of rate limits or want no requests, and those that servers would refuse because
 // of overload. Parts without room that the request can do without are left out.
 func (r *run) admit(now time.Time) (refusal Reply, ok bool) {
 	minParts := r.plan.MinParts
-	rooms := make([]partRoom, 0, len(r.services))
-	for part, service := range r.services {
-		if room := service.room(now); room.Usable > 0 {
-			rooms = append(rooms, partRoom{room, part})
-		}
-	}
+	rooms := r.rooms(now)
 	if len(rooms) < minParts {
 		return refusalReply(dcreason.NoServer), false
 	}
-	slices.SortStableFunc(rooms, func(a, b partRoom) int { return cmp.Compare(a.Wait, b.Wait) })
 	// The longest wait among the services that are needed.
 	scarcest := rooms[minParts-1]
-	if maxWait := min(maxRoomWait, time.Duration(float64(r.route.LatencyTarget)*maxRoomWaitShare)); scarcest.Wait > maxWait {
-		refusal = refusalReply(dcreason.RateLimited)
+	if scarcest.Wait > r.plan.MaxWait {
+		refusal = refusalReply(refusalCode(scarcest.Cause))
 		refusal.RetryAfter = r.state.returnAfter(scarcest.Room, now)
 		return refusal, false
 	}
@@ -59,6 +57,32 @@
 	return Reply{}, true
 }
 
+// maxWait returns the longest time for which a request of a route waits for room.
+func maxWait(route *dcroute.Route) time.Duration {
+	return min(maxRoomWait, time.Duration(float64(route.LatencyTarget)*maxRoomWaitShare))
+}
+
+// rooms returns the room of the parts that have a usable server, those with the
+// shortest wait first.
+func (r *run) rooms(now time.Time) []partRoom {
+	rooms := make([]partRoom, 0, len(r.services))
+	for part, service := range r.services {
+		if room := service.room(now); room.Usable > 0 {
+			rooms = append(rooms, partRoom{room, part})
+		}
+	}
+	slices.SortStableFunc(rooms, func(a, b partRoom) int { return cmp.Compare(a.Wait, b.Wait) })
+	return rooms
+}
+
+// refusalCode returns the reason of a refusal for lack of room.
+func refusalCode(cause dcbalance.Cause) dcreason.Code {
+	if cause == dcbalance.Holds {
+		return dcreason.UpstreamShed
+	}
+	return dcreason.RateLimited
+}
+
 // leaveOut leaves out the parts whose servers will not have room in time for an
 // answer. Waiting for them would only delay the answer.
 func (r *run) leaveOut(rooms []partRoom, now time.Time) {
--- a/internal/dcengine/handle.go
+++ b/internal/dcengine/handle.go
@@ -117,6 +117,7 @@
 		MaxAttempts: route.MaxAttempts,
 		MinParts:    1,
 		Deadline:    request.Deadline,
+		MaxWait:     maxWait(route),
 	}
 	if latest := request.Arrived.Add(route.Timeout); latest.Before(policy.Deadline) {
 		policy.Deadline = latest
--- a/internal/dcengine/ratelimit.go
+++ b/internal/dcengine/ratelimit.go
@@ -73,15 +73,19 @@
 
 // returnAfter returns when a caller that is refused for lack of room may return.
 // The callers of a route return in the order in which they were refused, no
-// faster than the limits allow requests.
+// faster than the limits allow requests, and not before the servers want some.
 func (r *routeState) returnAfter(room dcbalance.Room, now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	earliest := now.Add(max(room.Wait, minReturnDelay))
-	if next := r.returnAt.Add(dcratelimit.Duration(1, room.Rate)); next.After(earliest) {
+	earliest, latest := now.Add(max(room.Wait, minReturnDelay)), now.Add(maxReturnDelay)
+	rate := room.Rate
+	if room.Cause == dcbalance.Holds {
+		rate, latest = returnRate, earliest.Add(maxReturnDelay)
+	}
+	if next := r.returnAt.Add(dcratelimit.Duration(1, rate)); next.After(earliest) {
 		earliest = next
 	}
-	if latest := now.Add(maxReturnDelay); earliest.After(latest) {
+	if earliest.After(latest) {
 		earliest = latest
 	}
 	r.returnAt = earliest
--- a/internal/dcengine/run.go
+++ b/internal/dcengine/run.go
@@ -157,6 +157,14 @@
 	return call, ok
 }
 
+// Wait implements dcattempt.Servers.
+func (r *run) Wait(part int, now time.Time) time.Duration {
+	if room := r.services[part].room(now); room.Cause == dcbalance.Holds {
+		return room.Wait
+	}
+	return 0
+}
+
 // setWaiting records whether the first send of a part waits for a server.
 func (r *run) setWaiting(part int, waiting bool) {
 	if r.waiting[part] == waiting {
@@ -193,7 +201,7 @@
 		answer := r.answers[0]
 		return Reply{Status: answer.Status, Code: dcreason.OK, Answer: answer}
 	case !r.plan.MayHaveRun():
-		return refusalReply(dcreason.UpstreamShed)
+		return r.refusedByServers(now)
 	case r.lastFailure != nil && len(r.route.Shards) == 0 && r.lastFailure.Proof != "" && r.lastFailure.Status != http.StatusServiceUnavailable:
 		return Reply{Status: r.lastFailure.Status, Code: dcreason.UpstreamError, Answer: r.lastFailure}
 	case !now.Before(r.plan.Deadline):
@@ -204,6 +212,18 @@
 	return Reply{Status: http.StatusBadGateway, Code: dcreason.OutcomeUnknown}
 }
 
+// refusedByServers returns the refusal of a request that all servers refused. Its
+// caller may return when the servers want requests again.
+func (r *run) refusedByServers(now time.Time) Reply {
+	refusal := refusalReply(dcreason.UpstreamShed)
+	if rooms := r.rooms(now); len(rooms) >= r.plan.MinParts {
+		if scarcest := rooms[r.plan.MinParts-1]; scarcest.Cause == dcbalance.Holds {
+			refusal.RetryAfter = r.state.returnAfter(scarcest.Room, now)
+		}
+	}
+	return refusal
+}
+
 // servicesWithoutServer returns the services of the parts that have no usable
 // server.
 func (r *run) servicesWithoutServer() (names []string) {
--- a/internal/dcengine/service.go
+++ b/internal/dcengine/service.go
@@ -134,6 +134,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.group.RecordOutcome(call, answer.Outcome, medianLatency, now)
+	if answer.RetryDelay > 0 {
+		s.recordRetryDelay(call, answer.RetryDelay, now)
+	}
 	if answer.Waited >= delayedSend {
 		s.metrics().delayed.Inc(1)
 	}
@@ -141,3 +144,12 @@
 		s.recordRateLimit(call, answer, place, now)
 	}
 }
+
+// recordRetryDelay records for how long a server wants no requests. The caller
+// holds the lock.
+func (s *service) recordRetryDelay(call *dcbalance.Call, delay time.Duration, now time.Time) {
+	if s.group.RecordDelay(call, delay, now) {
+		s.log.Info("server wants no requests", zap.String("service", string(s.name)), zap.String("server", string(call.Server.ID)),
+			zap.String("address", string(call.Server.Addr)), zap.Duration("named", delay))
+	}
+}
--- a/internal/dcforward/dcforward.go
+++ b/internal/dcforward/dcforward.go
@@ -54,6 +54,9 @@
 	// unknown unless the head of a response to this request was read from the
 	// server that was meant.
 	RateLimit dcratelimit.Statement
+	// RetryDelay is how long the server wants no further requests of this host, 0
+	// if it names no such time.
+	RetryDelay time.Duration
 	// Waited is how long the request waited for a connection, 0 if it got none.
 	Waited time.Duration
 	// Err is the cause of a missing or incomplete response; it may be nil.
@@ -72,6 +75,8 @@
 	Proof string
 	// RateLimit is what the response says of the rate limit of its server.
 	RateLimit dcratelimit.Statement
+	// RetryDelay is the delay that the response names, 0 for none.
+	RetryDelay time.Duration
 }
 
 // Codec writes and reads the header fields of the servers' protocol.
@@ -179,15 +184,18 @@
 		// The answer of another server says nothing of the limit of this one.
 		metadata.RateLimit = dcratelimit.Statement{}
 	}
+	if metadata.Misdirected || !turnsAway(response.StatusCode) {
+		metadata.RetryDelay = 0
+	}
 	body, err := c.readBody(response)
 	if err != nil {
 		answer := classify(ctx, exchange, err)
-		answer.RateLimit = metadata.RateLimit
+		answer.RateLimit, answer.RetryDelay = metadata.RateLimit, metadata.RetryDelay
 		return answer
 	}
 	result := Answer{
 		Outcome: dcbalance.Answered, Code: dcreason.OK, Status: response.StatusCode, Header: response.Header, Body: body,
-		Proof: metadata.Proof, RateLimit: metadata.RateLimit,
+		Proof: metadata.Proof, RateLimit: metadata.RateLimit, RetryDelay: metadata.RetryDelay,
 	}
 	switch {
 	case metadata.Misdirected:
@@ -203,6 +211,12 @@
 	return result
 }
 
+// turnsAway reports whether a delay in a response with the status applies to all
+// requests to the server.
+func turnsAway(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // impliesNotRun reports whether a status tells the caller that its request did
 // not run.
 func impliesNotRun(status int) bool {
--- a/internal/dcratelimit/statement.go
+++ b/internal/dcratelimit/statement.go
@@ -1,12 +1,6 @@
 package dcratelimit
 
-import (
-	"math"
-	"strconv"
-)
-
-// maxRateDigits is the maximum length of a limit as text.
-const maxRateDigits = 32
+import "github.com/dandelioncart/dandelioncart/internal/dcfield"
 
 // Kind is what an answer says of the limit of its server.
 type Kind uint8
@@ -31,40 +25,15 @@
 	Rate Rate
 }
 
-// ParseStatement reads the values of the field that names a limit. A limit is a
-// finite decimal number that is not negative, with at most maxRateDigits
-// characters; several values must all be the same number.
+// ParseStatement reads the values of the field that names a limit, a decimal
+// number as dcfield.Decimal reads it.
 func ParseStatement(values []string) Statement {
-	if len(values) == 0 {
+	rate, presence := dcfield.Decimal(values)
+	switch presence {
+	case dcfield.Absent:
 		return Statement{Kind: Absent}
+	case dcfield.Valid:
+		return Statement{Kind: Named, Rate: Rate(rate)}
 	}
-	statement := Statement{Kind: Named}
-	for i, value := range values {
-		rate, ok := parseRate(value)
-		if !ok || i > 0 && rate != statement.Rate {
-			return Statement{Kind: Malformed}
-		}
-		statement.Rate = rate
-	}
-	return statement
-}
-
-func parseRate(text string) (Rate, bool) {
-	if text == "" || len(text) > maxRateDigits {
-		return 0, false
-	}
-	for _, character := range []byte(text) {
-		switch {
-		case character >= '0' && character <= '9', character == '.', character == 'e', character == 'E', character == '+', character == '-':
-		default:
-			// Excludes what ParseFloat accepts besides decimal numbers: hexadecimal
-			// ones, underscores, infinities and NaN.
-			return 0, false
-		}
-	}
-	rate, err := strconv.ParseFloat(text, 64)
-	if err != nil || math.Signbit(rate) {
-		return 0, false
-	}
-	return Rate(rate), true
+	return Statement{Kind: Malformed}
 }
