Do not send a part again at once to a server that refused it

What callers saw: at a shard with one server left, requests were refused there up to five times within milliseconds (three arrivals within 7 ms in the record), and the extra sends that would have helped other requests were gone.

Cause: when all servers of a part had been tried, one of them was picked again without a pause, also if it had just refused the part. A request that no server had run was held for up to four pauses of 15 ms.

Change: a part returns to a server that refused it after 15 ms at the earliest.

Test: TestRefusingServerIsNotAskedAtOnce fails without the pause: sent to server a 0s after it refused.

--- a/internal/dcattempt/dcattempt.go
+++ b/internal/dcattempt/dcattempt.go
@@ -18,6 +18,10 @@
 	// RetryDelay is the wait before the next try of a part for which no server
 	// was available.
 	RetryDelay = 15 * time.Millisecond
+	// refusalPause is the time after a refusal within which a part is not sent to
+	// the same server again. A send at once would be refused as well, and use up
+	// the budget that helps other requests.
+	refusalPause = RetryDelay
 )
 
 // MaxSends returns the maximum number of sends of one part.
@@ -41,7 +45,8 @@
 	// to another server; 0 turns hedging off.
 	HedgeDelay time.Duration
 	// MaxWait is the longest wait for servers of a part that want no sends for a
-	// time; the part fails if they want none for longer.
+	// time; the part fails if they want none for longer. It is also the longest wait
+	// for a server while no server may have run any part.
 	MaxWait time.Duration
 }
 
@@ -80,8 +85,13 @@
 
 type part struct {
 	// tried lists the servers to which the part was sent.
-	tried    []dcid.ServerID
-	inFlight []*dcbalance.Call
+	tried []dcid.ServerID
+	// refusals holds the last refusal of each server that refused the part.
+	refusals map[dcid.ServerID]time.Time
+	// waitingSince is the time from which the part has been without a server, zero
+	// when it has not.
+	waitingSince time.Time
+	inFlight     []*dcbalance.Call
 	// attempts counts the sends that may have run.
 	attempts int
 	// refused counts the sends that did not run and the tries for which no
@@ -141,6 +151,12 @@
 	case notRun:
 		part.attempts--
 		part.refused++
+		if outcome == dcbalance.Refused {
+			if part.refusals == nil {
+				part.refusals = make(map[dcid.ServerID]time.Time)
+			}
+			part.refusals[ended.Call.Server.ID] = now
+		}
 	default:
 		p.mayHaveRun = true
 	}
@@ -241,7 +257,7 @@
 	call, ok := p.servers.Pick(index, part.tried, extra, now)
 	if !ok && extra && len(part.inFlight) == 0 {
 		// All servers were tried; one of them may have capacity again.
-		call, ok = p.servers.Pick(index, nil, extra, now)
+		call, ok = p.servers.Pick(index, part.recentRefusers(now), extra, now)
 	}
 	if !ok {
 		// The first send of a part keeps waiting for capacity until AnswerBy,
@@ -250,14 +266,19 @@
 		if extra || !now.Before(p.AnswerBy) || !p.MayHaveRun() {
 			part.refused++
 		}
+		if part.waitingSince.IsZero() {
+			part.waitingSince = now
+		}
 		wait := p.servers.Wait(index, now)
-		if part.refused > p.MaxAttempts+refusalRetries || wait > p.MaxWait || p.tooLate(now.Add(wait)) {
+		retryAt := now.Add(max(wait, RetryDelay))
+		waitsTooLong := wait > p.MaxWait || !p.MayHaveRun() && retryAt.Sub(part.waitingSince) > p.MaxWait
+		if part.refused > p.MaxAttempts+refusalRetries || waitsTooLong || p.tooLate(now.Add(wait)) {
 			if len(part.inFlight) == 0 {
 				p.setFinal(part, failed)
 			}
 			return sends
 		}
-		part.retryAt = now.Add(max(wait, RetryDelay))
+		part.retryAt = retryAt
 		return sends
 	}
 	return append(sends, p.recordSend(index, call, extra, now))
@@ -290,6 +311,7 @@
 	part.tried = append(part.tried, call.Server.ID)
 	part.inFlight = append(part.inFlight, call)
 	part.attempts++
+	part.waitingSince = time.Time{}
 	// A hedge takes the place of a retry that waits for a server or for budget.
 	part.retryAt = time.Time{}
 	if p.Idempotent && p.HedgeDelay > 0 {
@@ -311,6 +333,16 @@
 	}
 }
 
+// recentRefusers returns the servers that have just refused the part.
+func (p *part) recentRefusers(now time.Time) (servers []dcid.ServerID) {
+	for server, at := range p.refusals {
+		if now.Sub(at) < refusalPause {
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
+
 func (p *part) removeInFlight(call *dcbalance.Call) {
 	for i, inFlight := range p.inFlight {
 		if inFlight == call {
--- a/internal/dcattempt/dcattempt_test.go
+++ b/internal/dcattempt/dcattempt_test.go
@@ -310,3 +310,35 @@
 		}
 	}
 }
+
+// TestRefusingServerIsNotAskedAtOnce guards against sends of a part to a server
+// that has just refused it, which use up the budget of other requests, and against
+// a part that never returns to it.
+func TestRefusingServerIsNotAskedAtOnce(t *testing.T) {
+	policy := testPolicy()
+	policy.HedgeDelay, policy.MinParts = 0, 2
+	plan := New(policy, 2, &fakeServers{budget: 99})
+	pending := plan.Start(start)[:1]
+	now := start
+	lastRefusal := make(map[dcid.ServerID]time.Time)
+	again := false
+	for !plan.Done(now) {
+		if len(pending) == 0 {
+			now = plan.NextTick(now)
+			pending = plan.Tick(now)
+			continue
+		}
+		server := pending[0].Call.Server.ID
+		if at, refused := lastRefusal[server]; refused {
+			again = true
+			if now.Sub(at) < refusalPause {
+				t.Fatalf("sent to server %s %v after it refused", server, now.Sub(at))
+			}
+		}
+		lastRefusal[server] = now
+		pending = plan.HandleOutcome(pending[0], dcbalance.Refused, now)
+	}
+	if !again {
+		t.Error("no server was asked again")
+	}
+}
