Limit the calls in flight to servers that are full

What callers saw: with one server of two shards left, nearly all queries were answered late or failed (16 of 189 in aim in the record, 138 late), while the servers were busy all the time: they worked off queues that took longer than the latency target.

Cause: a host sent to a server as many requests as it had connections, and the throttle by failures starts only when servers refuse, with full queues; late answers did not count at all. A queue of 30 requests at 5 slots adds 170 ms where the target is 200 ms.

Change: once a server refuses a call, or answers after half of the latency target, while more than this host's share of its slots (and half as many to wait) is in flight, the host keeps to that share, and adds one call for each 250 ms without either. A request whose needed services have no room within a quarter of its target, or 50 ms, is refused at once; its callers return at the rate at which the servers work.

--- a/internal/dcbalance/dcbalance.go
+++ b/internal/dcbalance/dcbalance.go
@@ -136,6 +136,8 @@
 	rateLimit rateLimit
 	// hold is the time for which the server wants no requests of this host.
 	hold dchold.Hold
+	// window limits the calls in flight while the server is full.
+	window window
 }
 
 // Group holds the servers of one service. It is not safe for concurrent use; the
@@ -146,7 +148,9 @@
 	// MaxInFlight is the maximum number of calls of this host to one server; 0
 	// means no limit.
 	MaxInFlight int
-	Random      *rand.Rand
+	// Hosts is the number of hosts that send to the servers.
+	Hosts  int
+	Random *rand.Rand
 
 	servers []*serverState
 }
@@ -225,8 +229,9 @@
 }
 
 // RecordOutcome ends a call and records its outcome. typical is the typical
-// latency of such requests at this service, 0 if unknown.
-func (g *Group) RecordOutcome(call *Call, outcome Outcome, typical time.Duration, now time.Time) {
+// latency of such requests at this service, 0 if unknown. slow is the latency from
+// which the server is taken to have more calls than it can run, 0 for none.
+func (g *Group) RecordOutcome(call *Call, outcome Outcome, typical, slow time.Duration, now time.Time) {
 	server := call.serverState
 	server.inFlight--
 	switch outcome {
@@ -240,6 +245,12 @@
 	default:
 		server.recordFailure(outcome, now)
 	}
+	switch {
+	case outcome == Refused || outcome == Answered && slow > 0 && now.Sub(call.started) >= slow:
+		server.window.reduce(server.inFlight+1, server.Capacity, g.Hosts, call.started, now)
+	case outcome == Answered:
+		server.window.answered(g.maxWindow(), now)
+	}
 	// Any answer shows that the server responds.
 	if outcome == Answered || outcome == Refused || outcome == Failed {
 		server.unresponsive = false
@@ -259,7 +270,18 @@
 }
 
 func (g *Group) full(server *serverState) bool {
-	return g.MaxInFlight > 0 && server.inFlight >= g.MaxInFlight
+	return g.MaxInFlight > 0 && server.inFlight >= g.MaxInFlight || server.window.limited() && server.inFlight >= server.window.limit
+}
+
+// unlimitedWindow is the number of calls at which a window ends if there is no
+// MaxInFlight.
+const unlimitedWindow = 64
+
+func (g *Group) maxWindow() int {
+	if g.MaxInFlight > 0 {
+		return g.MaxInFlight
+	}
+	return unlimitedWindow
 }
 
 func (g *Group) rank(server *serverState, now time.Time) rank {
--- a/internal/dcbalance/dcbalance_test.go
+++ b/internal/dcbalance/dcbalance_test.go
@@ -38,7 +38,7 @@
 		}
 		got[call.Server.ID]++
 		*now = now.Add(latency[call.Server.ID])
-		g.RecordOutcome(call, Answered, typicalLatency, *now)
+		g.RecordOutcome(call, Answered, typicalLatency, 0, *now)
 	}
 	return got
 }
@@ -81,7 +81,7 @@
 	if next, _ := g.Pick(nil, false, now); next.Server.ID == "a" {
 		t.Errorf("the server was probed again before the first probe had an answer")
 	}
-	g.RecordOutcome(probe, Answered, typicalLatency, now.Add(typicalLatency))
+	g.RecordOutcome(probe, Answered, typicalLatency, 0, now.Add(typicalLatency))
 	if next, _ := g.Pick(nil, false, now.Add(typicalLatency)); next.Server.ID != "a" {
 		t.Errorf("the server is avoided although it answers")
 	}
@@ -101,9 +101,9 @@
 				got++
 			}
 			if call.Server.ID == "a" && i%2 == 0 {
-				g.RecordOutcome(call, outcome, typicalLatency, now)
+				g.RecordOutcome(call, outcome, typicalLatency, 0, now)
 			} else {
-				g.RecordOutcome(call, Answered, typicalLatency, now)
+				g.RecordOutcome(call, Answered, typicalLatency, 0, now)
 			}
 		}
 		if got > 75 {
@@ -115,7 +115,7 @@
 				if !ok {
 					t.Fatalf("outcome %d: no server is left", outcome)
 				}
-				g.RecordOutcome(call, outcome, typicalLatency, now)
+				g.RecordOutcome(call, outcome, typicalLatency, 0, now)
 			}
 		}
 	}
@@ -136,11 +136,11 @@
 func TestSetServers(t *testing.T) {
 	g, now := newGroup(threeServers()...), start
 	call, _ := g.Pick(nil, false, now)
-	g.RecordOutcome(call, Misdirected, typicalLatency, now)
+	g.RecordOutcome(call, Misdirected, typicalLatency, 0, now)
 	servers := threeServers()
 	servers[1].Leaving = true
 	g.SetServers(servers)
-	if usable := g.Room(0, now).Usable; usable != 1 {
+	if usable := g.Room(0, 0, now).Usable; usable != 1 {
 		t.Errorf("%d servers are usable, want 1", usable)
 	}
 	if next, _ := g.Pick(nil, false, now); next.Server.ID != "c" {
@@ -178,16 +178,16 @@
 			if server.ID == id {
 				call := &Call{Server: server.Server, serverState: g.servers[i], started: now}
 				g.servers[i].inFlight++
-				g.RecordOutcome(call, Answered, typicalLatency, now)
+				g.RecordOutcome(call, Answered, typicalLatency, 0, now)
 				g.RecordRateLimit(call, Answered, dcratelimit.Statement{Kind: dcratelimit.Named, Rate: 10}, dcratelimit.Place{Hosts: 2}, now)
 			}
 		}
 	}
-	if room := g.Room(0, now); room.Usable != 3 || room.Wait != 0 || room.Rate != 0 {
+	if room := g.Room(0, 0, now); room.Usable != 3 || room.Wait != 0 || room.Rate != 0 {
 		t.Errorf("%+v, want room at once while a server has no limit", room)
 	}
 	g.SetServers(threeServers()[:2])
-	first, later := g.Room(0, now), g.Room(5, now)
+	first, later := g.Room(0, 0, now), g.Room(5, 0, now)
 	// Two shares of 5 a second.
 	if first.Rate != 10 || first.Wait <= 0 || first.Wait > 200*time.Millisecond {
 		t.Errorf("%+v, want room within 200ms at a rate of 10", first)
@@ -196,7 +196,7 @@
 		t.Errorf("five waiting requests add %v, want 500ms", gap)
 	}
 	now = now.Add(time.Second)
-	if room := g.Room(0, now); room.Wait != 0 {
+	if room := g.Room(0, 0, now); room.Wait != 0 {
 		t.Errorf("%+v a second later, want room at once", room)
 	}
 	for range 2 {
--- a/internal/dcbalance/room.go
+++ b/internal/dcbalance/room.go
@@ -18,6 +18,9 @@
 	RateLimits
 	// Holds means that all servers want no requests for a time.
 	Holds
+	// Windows means that the servers have refused requests for lack of room, and
+	// this host's share of what they can run is in use.
+	Windows
 )
 
 // Room tells when the servers of a service have room for more requests.
@@ -35,38 +38,45 @@
 }
 
 // Room returns when the servers take a request after those that are waiting
-// already.
-func (g *Group) Room(waiting int, now time.Time) (room Room) {
-	tokens, unlimited := 0, false
+// already. typical is the typical latency of such requests, 0 if unknown; windows
+// then do not count.
+func (g *Group) Room(waiting int, typical time.Duration, now time.Time) (room Room) {
 	const unknown = time.Duration(math.MaxInt64)
-	firstToken, firstHoldEnd := unknown, unknown
+	free, unlimited := 0, false
+	firstFree, firstHoldEnd := unknown, unknown
+	cause := RateLimits
 	for _, server := range g.servers {
 		if !server.usable() {
 			continue
 		}
 		room.Usable++
-		if remaining := server.hold.Remaining(now); remaining > 0 {
-			firstHoldEnd = min(firstHoldEnd, remaining)
-			continue
-		}
-		if !server.rateLimit.Limited() {
+		switch {
+		case server.hold.Remaining(now) > 0:
+			firstHoldEnd = min(firstHoldEnd, server.hold.Remaining(now))
+		case server.rateLimit.Limited():
+			free += server.rateLimit.Tokens(now)
+			firstFree = min(firstFree, server.rateLimit.Wait(now))
+			room.Rate += server.rateLimit.Rate()
+		case server.window.limited() && typical > 0:
+			free += max(server.window.limit-server.inFlight, 0)
+			rate := float64(server.window.limit) / typical.Seconds()
+			firstFree = min(firstFree, dcratelimit.Duration(1, dcratelimit.Rate(rate)))
+			room.Rate += dcratelimit.Rate(rate)
+			cause = Windows
+		default:
 			unlimited = true
-			continue
 		}
-		tokens += server.rateLimit.Tokens(now)
-		firstToken = min(firstToken, server.rateLimit.Wait(now))
-		room.Rate += server.rateLimit.Rate()
 	}
 	if unlimited {
 		room.Rate = 0
 	}
-	if unlimited || room.Usable == 0 || tokens > waiting {
+	if unlimited || room.Usable == 0 || free > waiting {
 		return room
 	}
 	room.Wait, room.Cause = firstHoldEnd, Holds
-	if firstToken != unknown {
-		if wait := firstToken + dcratelimit.Duration(float64(waiting-tokens), room.Rate); wait < room.Wait {
-			room.Wait, room.Cause = wait, RateLimits
+	if firstFree != unknown {
+		if wait := firstFree + dcratelimit.Duration(float64(waiting-free), room.Rate); wait < room.Wait {
+			room.Wait, room.Cause = wait, cause
 		}
 	}
 	return room
--- a/internal/dcengine/admission.go
+++ b/internal/dcengine/admission.go
@@ -66,8 +66,9 @@
 // shortest wait first.
 func (r *run) rooms(now time.Time) []partRoom {
 	rooms := make([]partRoom, 0, len(r.services))
+	typical := r.state.medianLatency(now)
 	for part, service := range r.services {
-		if room := service.room(now); room.Usable > 0 {
+		if room := service.room(typical, now); room.Usable > 0 {
 			rooms = append(rooms, partRoom{room, part})
 		}
 	}
@@ -77,8 +78,11 @@
 
 // refusalCode returns the reason of a refusal for lack of room.
 func refusalCode(cause dcbalance.Cause) dcreason.Code {
-	if cause == dcbalance.Holds {
+	switch cause {
+	case dcbalance.Holds:
 		return dcreason.UpstreamShed
+	case dcbalance.Windows:
+		return dcreason.Overloaded
 	}
 	return dcreason.RateLimited
 }
--- a/internal/dcengine/dcengine.go
+++ b/internal/dcengine/dcengine.go
@@ -149,7 +149,7 @@
 	if e.Hosts.StaleConnections() {
 		share /= staleShareDivisor
 	}
-	service.setConnectionLimit(max(share, 1), e.Connections)
+	service.setConnectionLimit(max(share, 1), hosts, e.Connections)
 }
 
 // SetExtraLoad changes the limit on extra sends.
--- a/internal/dcengine/ratelimit.go
+++ b/internal/dcengine/ratelimit.go
@@ -58,10 +58,11 @@
 }
 
 // room returns when the servers of the service have room for one more request.
-func (s *service) room(now time.Time) dcbalance.Room {
+// typical is the typical latency of such requests, 0 if unknown.
+func (s *service) room(typical time.Duration, now time.Time) dcbalance.Room {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.group.Room(s.waiting, now)
+	return s.group.Room(s.waiting, typical, now)
 }
 
 // addWaiting changes the number of parts whose first send waits for a server.
--- a/internal/dcengine/ratelimit_test.go
+++ b/internal/dcengine/ratelimit_test.go
@@ -172,7 +172,7 @@
 				t.Fatalf("%s: no call to the server", name)
 			}
 			answer := dcforward.Answer{Outcome: outcome, RateLimit: statement}
-			service.recordAnswer(call, &answer, 0, engine.place("p1-a", statement), now.Add(time.Millisecond))
+			service.recordAnswer(call, &answer, 0, 0, engine.place("p1-a", statement), now.Add(time.Millisecond))
 		}
 		record(dcbalance.Answered, named(10))
 		record(c.outcome, c.statement)
--- a/internal/dcengine/run.go
+++ b/internal/dcengine/run.go
@@ -140,7 +140,7 @@
 			if answer.Outcome == dcbalance.Answered {
 				r.state.recordLatency(elapsed, now)
 			}
-			service.recordAnswer(send.Call, &answer, r.state.medianLatency(now), engine.place(send.Call.Server.ID, answer.RateLimit), now)
+			service.recordAnswer(send.Call, &answer, r.state.medianLatency(now), r.route.LatencyTarget, engine.place(send.Call.Server.ID, answer.RateLimit), now)
 			r.sendLog.ended(entry, &answer, elapsed)
 			r.results <- &sendResult{send: send, answer: answer}
 		})
@@ -174,7 +174,7 @@
 
 // Wait implements dcattempt.Servers.
 func (r *run) Wait(part int, now time.Time) time.Duration {
-	if room := r.services[part].room(now); room.Cause == dcbalance.Holds {
+	if room := r.services[part].room(0, now); room.Cause == dcbalance.Holds {
 		return room.Wait
 	}
 	return 0
@@ -243,7 +243,7 @@
 // server.
 func (r *run) servicesWithoutServer() (names []string) {
 	for _, service := range r.services {
-		if service.room(r.engine.Clock.Now()).Usable == 0 {
+		if service.room(0, r.engine.Clock.Now()).Usable == 0 {
 			names = append(names, string(service.name))
 		}
 	}
--- a/internal/dcengine/service.go
+++ b/internal/dcengine/service.go
@@ -15,6 +15,10 @@
 	"github.com/dandelioncart/dandelioncart/internal/dcratelimit"
 )
 
+// slowShare is the share of the latency target from which an answer shows that its
+// server has more requests than it can run.
+const slowShare = 0.5
+
 // service holds what this host knows about the servers of one service.
 type service struct {
 	name dcid.ServiceName
@@ -75,10 +79,10 @@
 }
 
 // setConnectionLimit sets this host's share of the connections to each server.
-func (s *service) setConnectionLimit(share int, connections Connections) {
+func (s *service) setConnectionLimit(share, hosts int, connections Connections) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.group.MaxInFlight = share
+	s.group.MaxInFlight, s.group.Hosts = share, hosts
 	for _, server := range s.servers {
 		connections.SetLimit(server.Addr, share)
 	}
@@ -129,11 +133,12 @@
 }
 
 // recordAnswer ends a call and records its outcome, and what the answer says of
-// the rate limit of its server. medianLatency is 0 while it is unknown.
-func (s *service) recordAnswer(call *dcbalance.Call, answer *dcforward.Answer, medianLatency time.Duration, place dcratelimit.Place, now time.Time) {
+// the rate limit of its server. medianLatency is 0 while it is unknown, target is
+// the latency target of the request.
+func (s *service) recordAnswer(call *dcbalance.Call, answer *dcforward.Answer, medianLatency, target time.Duration, place dcratelimit.Place, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.group.RecordOutcome(call, answer.Outcome, medianLatency, now)
+	s.group.RecordOutcome(call, answer.Outcome, medianLatency, time.Duration(float64(target)*slowShare), now)
 	if answer.RetryDelay > 0 {
 		s.recordRetryDelay(call, answer.RetryDelay, now)
 	}
