Send nothing more to servers that say that they leave

What callers see: requests that reach a server after it has said in an answer that it leaves, for as long as the list does not say so, as while the store is away.

Cause: Server-Leaving was not read. The list was the only source, and its newest entry decided, so that an entry of an older copy brought a server back.

Change: the engine remembers the server processes that leave, by the list or by their own answers, whichever is first, and sends them nothing more. A process is an ID with its address and its start (born, when the entry has it), so that the next process under the ID, or the next server at the address, is used.

--- a/internal/dcbalance/dcbalance.go
+++ b/internal/dcbalance/dcbalance.go
@@ -51,6 +51,14 @@
 	ColdUntil time.Time
 	// Leaving is set if the server must not get new requests.
 	Leaving bool
+	// Started is the start of the server process, zero if unknown. A server can
+	// start again under its ID.
+	Started time.Time
+}
+
+// SameProcess reports whether two records are of one server process.
+func (s *Server) SameProcess(other Server) bool {
+	return s.ID == other.ID && s.Addr == other.Addr && s.Started.Equal(other.Started)
 }
 
 // Outcome is the result of a call.
@@ -156,12 +164,12 @@
 }
 
 // SetServers replaces the list of servers. It keeps the state of servers whose
-// ID and address are unchanged.
+// process is unchanged.
 func (g *Group) SetServers(servers []Server) {
 	old := g.servers
 	g.servers = make([]*serverState, 0, len(servers))
 	for _, server := range servers {
-		index := slices.IndexFunc(old, func(s *serverState) bool { return s.ID == server.ID && s.Addr == server.Addr })
+		index := slices.IndexFunc(old, func(s *serverState) bool { return s.SameProcess(server) })
 		if index < 0 {
 			g.servers = append(g.servers, &serverState{Server: server, latencyRatio: 1})
 			continue
--- a/internal/dcengine/service.go
+++ b/internal/dcengine/service.go
@@ -33,6 +33,8 @@
 	counters *serviceCounters
 	// rateLimitMeters holds the metrics of the servers that name a rate limit.
 	rateLimitMeters map[dcid.ServerID]*rateLimitMeter
+	// leaving holds the servers that leave, by the list or by what they say.
+	leaving departures
 	// waiting is the number of parts whose first send waits for a server.
 	waiting int
 	log     *zap.Logger
@@ -51,7 +53,7 @@
 // SetServer adds a server to a service, or updates it.
 func (e *Engine) SetServer(name dcid.ServiceName, server dcbalance.Server) {
 	service := e.service(name)
-	service.setServer(server)
+	service.setServer(server, e.Clock.Now())
 	if table := e.table.Load(); table != nil {
 		e.limitConnections(service, table.Service(name))
 	}
@@ -66,9 +68,13 @@
 	service.group.SetServers(service.servers)
 }
 
-func (s *service) setServer(server dcbalance.Server) {
+func (s *service) setServer(server dcbalance.Server, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if server.Leaving {
+		s.leaving.add(server, now)
+	}
+	server.Leaving = s.leaving.has(server, now)
 	index := slices.IndexFunc(s.servers, func(known dcbalance.Server) bool { return known.ID == server.ID })
 	if index < 0 {
 		s.servers = append(s.servers, server)
@@ -139,6 +145,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.group.RecordOutcome(call, answer.Outcome, medianLatency, time.Duration(float64(target)*slowShare), now)
+	if answer.Leaving {
+		s.recordLeaving(call.Server, now)
+	}
 	if answer.RetryDelay > 0 {
 		s.recordRetryDelay(call, answer.RetryDelay, now)
 	}
@@ -158,3 +167,20 @@
 			zap.String("address", string(call.Server.Addr)), zap.Duration("named", delay))
 	}
 }
+
+// recordLeaving records that a server says that it leaves. The caller holds the
+// lock.
+func (s *service) recordLeaving(server dcbalance.Server, now time.Time) {
+	if s.leaving.has(server, now) {
+		return
+	}
+	s.leaving.add(server, now)
+	s.log.Info("server says that it leaves", zap.String("service", string(s.name)), zap.String("server", string(server.ID)),
+		zap.String("address", string(server.Addr)))
+	for i := range s.servers {
+		if s.servers[i].SameProcess(server) {
+			s.servers[i].Leaving = true
+		}
+	}
+	s.group.SetServers(s.servers)
+}
--- a/internal/dcforward/dcforward.go
+++ b/internal/dcforward/dcforward.go
@@ -54,6 +54,8 @@
 	// unknown unless the head of a response to this request was read from the
 	// server that was meant.
 	RateLimit dcratelimit.Statement
+	// Leaving is set if the server says that it leaves.
+	Leaving bool
 	// RetryDelay is how long the server wants no further requests of this host, 0
 	// if it names no such time.
 	RetryDelay time.Duration
@@ -77,6 +79,8 @@
 	RateLimit dcratelimit.Statement
 	// RetryDelay is the delay that the response names, 0 for none.
 	RetryDelay time.Duration
+	// Leaving is set if the server says that it leaves.
+	Leaving bool
 }
 
 // Codec writes and reads the header fields of the servers' protocol.
@@ -181,8 +185,8 @@
 		return Answer{Outcome: dcbalance.Lost, Code: dcreason.UpstreamMalformed, Status: response.StatusCode}
 	}
 	if metadata.Misdirected {
-		// The answer of another server says nothing of the limit of this one.
-		metadata.RateLimit = dcratelimit.Statement{}
+		// The answer of another server says nothing of this one.
+		metadata.RateLimit, metadata.Leaving = dcratelimit.Statement{}, false
 	}
 	if metadata.Misdirected || !turnsAway(response.StatusCode) {
 		metadata.RetryDelay = 0
@@ -190,12 +194,12 @@
 	body, err := c.readBody(response)
 	if err != nil {
 		answer := classify(ctx, exchange, err)
-		answer.RateLimit, answer.RetryDelay = metadata.RateLimit, metadata.RetryDelay
+		answer.RateLimit, answer.RetryDelay, answer.Leaving = metadata.RateLimit, metadata.RetryDelay, metadata.Leaving
 		return answer
 	}
 	result := Answer{
 		Outcome: dcbalance.Answered, Code: dcreason.OK, Status: response.StatusCode, Header: response.Header, Body: body,
-		Proof: metadata.Proof, RateLimit: metadata.RateLimit, RetryDelay: metadata.RetryDelay,
+		Proof: metadata.Proof, RateLimit: metadata.RateLimit, RetryDelay: metadata.RetryDelay, Leaving: metadata.Leaving,
 	}
 	switch {
 	case metadata.Misdirected:
