Do not suspect requests that any server has answered

Cause: three broken connections ended a query, also while 50 other servers were at work on it and about to answer. The suspicion then sent its next attempt to one server first, whose answer could be lost likewise.

Change: after three servers have ended under a request, its hedges and retries wait for the first answer instead; an answer lets them go. A request becomes suspected only if it ends without any answer.

Test: TestLostAnswersOfQuery fails before (502, and suspicions). The bound of TestRequestThatCrashesServers is as before.

--- a/internal/dcattempt/dcattempt.go
+++ b/internal/dcattempt/dcattempt.go
@@ -79,6 +79,8 @@
 	canary     bool
 	canaryPart int
 	avoid      []dcid.ServerID
+	// held is set while hedges and retries wait for the first answer.
+	held bool
 	// aborted is set once nothing more is sent.
 	aborted   bool
 	servers   Servers
@@ -106,7 +108,9 @@
 	refused int
 	hedgeAt time.Time
 	retryAt time.Time
-	state   state
+	// retryHeld is set if a retry waits for the end of a hold.
+	retryHeld bool
+	state     state
 }
 
 type state uint8
@@ -158,6 +162,41 @@
 	return p.Start(now)
 }
 
+// Hold holds back hedges and retries until Release, because servers may end under
+// the request. It aborts the request if no server is left that may answer it.
+func (p *Plan) Hold() {
+	p.held = true
+	p.abortIfIdle()
+}
+
+// Release ends a hold and returns the sends that waited for it.
+func (p *Plan) Release(now time.Time) (sends []Send) {
+	if !p.held {
+		return nil
+	}
+	p.held = false
+	for i := range p.parts {
+		part := &p.parts[i]
+		if !part.retryHeld {
+			continue
+		}
+		part.retryHeld = false
+		if part.state == pending && part.attempts < p.MaxAttempts {
+			sends = p.send(sends, i, true, now)
+		}
+	}
+	return sends
+}
+
+func (p *Plan) abortIfIdle() {
+	for i := range p.parts {
+		if len(p.parts[i].inFlight) > 0 {
+			return
+		}
+	}
+	p.aborted = p.aborted || p.held
+}
+
 // Abort ends the request: nothing more is sent.
 func (p *Plan) Abort() { p.aborted = true }
 
@@ -199,6 +238,14 @@
 	if part.state != pending || p.aborted {
 		return nil
 	}
+	if p.held {
+		part.retryHeld = p.mayRetry(part, notRun)
+		p.abortIfIdle()
+		if !part.retryHeld && len(part.inFlight) == 0 {
+			p.setFinal(part, failed)
+		}
+		return nil
+	}
 	if p.mayRetry(part, notRun) {
 		return p.send(nil, ended.Part, true, now)
 	}
@@ -211,7 +258,7 @@
 // Tick returns the sends that are due: hedges and delayed retries. A call whose
 // hedge is due is also reported as unresponsive.
 func (p *Plan) Tick(now time.Time) (sends []Send) {
-	if p.aborted {
+	if p.aborted || p.held {
 		return nil
 	}
 	for i := range p.parts {
@@ -235,6 +282,12 @@
 // NextTick returns the time at which Tick or Done must be called next.
 func (p *Plan) NextTick(now time.Time) time.Time {
 	next := p.Deadline
+	if p.held {
+		if p.AnswerBy.After(now) {
+			next = earlier(next, p.AnswerBy)
+		}
+		return next
+	}
 	for i := range p.parts {
 		part := &p.parts[i]
 		if part.state == pending {
--- a/internal/dcengine/handle.go
+++ b/internal/dcengine/handle.go
@@ -80,7 +80,7 @@
 		return refusal, run
 	}
 	if refusal, ok := run.admit(e.Clock.Now()); !ok {
-		run.abandonCanary()
+		run.endSuspicion(e.Clock.Now())
 		return refusal, run
 	}
 	reply := run.run(ctx)
--- a/internal/dcengine/quarantine.go
+++ b/internal/dcengine/quarantine.go
@@ -18,8 +18,7 @@
 
 const (
 	// maxCrashes is the number of servers that may crash under one request before
-	// nothing more of it is sent. Servers also crash for other reasons, some of them
-	// at the same time.
+	// its hedges and retries wait for the first answer.
 	maxCrashes = 3
 	// maxSharedBytes is the maximum size of the suspicions that are sent to another
 	// host at once.
@@ -111,57 +110,85 @@
 	return sends, true
 }
 
-// recordCrash records the outcome of a send in the quarantine. It returns the
-// sends that follow the end of a canary.
-func (r *run) recordCrash(ended *sendResult, now time.Time) []dcattempt.Send {
-	crashed := ended.answer.Outcome == dcbalance.Lost && ended.answer.Code == dcreason.UpstreamCrashed
-	if !crashed && !r.canary {
-		return nil
+// recordCrash follows whether servers crash under the request or answer it. It
+// returns the sends that an answer allows. A request that any server answers is not
+// the cause of the crashes of others.
+func (r *run) recordCrash(ended *sendResult, now time.Time) (sends []dcattempt.Send) {
+	outcome := ended.answer.Outcome
+	answered := outcome == dcbalance.Answered || outcome == dcbalance.Failed
+	crashed := outcome == dcbalance.Lost && ended.answer.Code == dcreason.UpstreamCrashed
+	switch {
+	case answered:
+		r.answered = true
+		sends = r.plan.Release(now)
+	case crashed:
+		r.crashed = append(r.crashed, ended.send.Call.Server.ID)
 	}
-	q := &r.engine.quarantine
-	server := dcid.ServerAddr(ended.send.Call.Server.ID)
-	q.mu.Lock()
-	if r.digest == "" {
-		r.digest = requestDigest(r.request)
+	if r.canary {
+		return append(sends, r.endCanary(answered, crashed, outcome, now)...)
 	}
-	var changed []*peerv1.Suspicion
-	var next []dcattempt.Send
+	if len(r.crashed) >= maxCrashes && !r.answered {
+		r.plan.Hold()
+	}
+	return sends
+}
+
+// endCanary ends the canary of the request unless the outcome says that it did not
+// run. It returns the sends that follow.
+func (r *run) endCanary(answered, crashed bool, outcome dcbalance.Outcome, now time.Time) []dcattempt.Send {
+	result := dcquarantine.Inconclusive
 	switch {
-	case r.canary && crashed:
-		changed = q.table.FinishCanary(r.digest, dcquarantine.Crashed, rule, now)
-		r.canary = false
-		r.plan.Abort()
+	case answered:
+		result = dcquarantine.Good
 	case crashed:
-		changed = q.table.RecordCrash(r.digest, server, rule, now)
-		if r.crashes++; r.crashes >= maxCrashes {
-			r.plan.Abort()
-		}
-	case ended.answer.Outcome == dcbalance.Answered || ended.answer.Outcome == dcbalance.Failed:
-		changed = q.table.FinishCanary(r.digest, dcquarantine.Good, rule, now)
-		r.canary = false
-		next = r.plan.EndCanary(now)
-	case ended.answer.Outcome == dcbalance.Lost:
-		q.table.FinishCanary(r.digest, dcquarantine.Inconclusive, rule, now)
-		r.canary = false
-		next = r.plan.EndCanary(now)
+		result = dcquarantine.Crashed
+	case outcome != dcbalance.Lost:
+		return nil
 	}
+	q := &r.engine.quarantine
+	q.mu.Lock()
+	changed := q.table.FinishCanary(r.digest, result, rule, now)
 	q.mu.Unlock()
-	r.engine.share(changed)
-	for _, suspicion := range changed {
-		r.engine.Log.Warn("request may crash servers", zap.String("request", string(r.request.ID)), zap.String("digest", string(r.digest)),
-			zap.String("server", string(server)), zap.String("state", suspicion.GetState()), zap.Int("crashed-servers", len(suspicion.GetServers())))
+	r.canary = false
+	r.report(changed)
+	if crashed {
+		r.crashed = nil
+		r.plan.Abort()
+		return nil
 	}
-	return next
+	return r.plan.EndCanary(now)
 }
 
-// abandonCanary ends a canary without a result.
-func (r *run) abandonCanary() {
-	if !r.canary {
+// endSuspicion ends the part of the request in the quarantine: it abandons a canary
+// without a result, and records the crashes of a request that no server answered.
+func (r *run) endSuspicion(now time.Time) {
+	if !r.canary && (len(r.crashed) == 0 || r.answered) {
 		return
 	}
 	q := &r.engine.quarantine
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.table.AbandonCanary(r.digest)
-	r.canary = false
+	var changed []*peerv1.Suspicion
+	if r.canary {
+		q.table.AbandonCanary(r.digest)
+		r.canary = false
+	}
+	if len(r.crashed) > 0 && !r.answered {
+		if r.digest == "" {
+			r.digest = requestDigest(r.request)
+		}
+		for _, server := range r.crashed {
+			changed = q.table.RecordCrash(r.digest, dcid.ServerAddr(server), rule, now)
+		}
+	}
+	q.mu.Unlock()
+	r.report(changed)
+}
+
+// report logs changes of suspicions and passes them to the other hosts.
+func (r *run) report(changed []*peerv1.Suspicion) {
+	r.engine.share(changed)
+	for _, suspicion := range changed {
+		r.engine.Log.Warn("request may crash servers", zap.String("request", string(r.request.ID)), zap.String("digest", suspicion.GetDigest()),
+			zap.String("state", suspicion.GetState()), zap.Strings("crashed-servers", suspicion.GetServers()))
+	}
 }
--- a/internal/dcengine/quarantine_test.go
+++ b/internal/dcengine/quarantine_test.go
@@ -177,3 +177,33 @@
 		})
 	}
 }
+
+// TestLostAnswersOfQuery guards against a query that fails because some of many
+// servers that run it break their connections, although the others answer it, and
+// against suspecting it.
+func TestLostAnswersOfQuery(t *testing.T) {
+	for _, firstAnswer := range []time.Duration{time.Millisecond, 10 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			sender := &fakeSender{answer: func(_ context.Context, server dcid.ServerID, count int) dcforward.Answer {
+				if server != "p4-a" && server != "p4-b" && count <= 4 {
+					time.Sleep(5 * time.Millisecond)
+					return dcforward.Answer{Outcome: dcbalance.Lost, Code: dcreason.UpstreamCrashed}
+				}
+				time.Sleep(firstAnswer)
+				return answeredBy(server)
+			}}
+			engine := newTestEngine(t, sender)
+			first := engine.Handle(t.Context(), newTestRequest(engine, "/query/x"))
+			if first.Code != dcreason.OK || first.MissingShards > 0 {
+				t.Errorf("reply %+v, want all of the answer", first)
+			}
+			time.Sleep(time.Second)
+			if reply := engine.Handle(t.Context(), newTestRequest(engine, "/query/x")); reply.Code != dcreason.OK || reply.MissingShards > 0 {
+				t.Errorf("reply %+v to the next attempt, want all of the answer", reply)
+			}
+			if suspicions := engine.Suspicions(); len(suspicions) > 0 {
+				t.Errorf("suspicions %v of a request that servers answered", suspicions)
+			}
+		})
+	}
+}
--- a/internal/dcengine/run.go
+++ b/internal/dcengine/run.go
@@ -44,8 +44,10 @@
 	// avoid, because it may crash servers.
 	canary bool
 	avoid  []dcid.ServerID
-	// crashes counts the servers that crashed under the request.
-	crashes int
+	// crashed lists the servers that crashed under the request, and answered is set
+	// once a server has answered it.
+	crashed  []dcid.ServerID
+	answered bool
 	// leftOut holds the services whose rate limits had no room for this request.
 	leftOut []string
 	results chan *sendResult
@@ -70,7 +72,7 @@
 	sendCtx, cancel := clockwork.WithDeadline(context.WithoutCancel(ctx), clock, r.plan.Deadline)
 	defer r.cancelAfterSends(cancel)
 	defer r.stopWaiting()
-	defer r.abandonCanary()
+	defer func() { r.endSuspicion(now) }()
 	sends, ok := r.start(now)
 	if !ok {
 		return refusalReply(dcreason.RequestSuspected)
