Order the history of the store by era and revision

Cause: revisions were compared across the restoration. A record was ignored unless its revision was above the known one of its key, but the store gives revisions out again; the watch, the probe and the copies between hosts compared likewise.

Change: a position in the history is an era with a revision and has one comparison, used by the mirror, the probe and the copies between hosts. The configuration in force is replaced only by one with a higher version; a host that starts, or finds the store restored, asks three others for theirs.

--- a/internal/dcmirror/dcmirror.go
+++ b/internal/dcmirror/dcmirror.go
@@ -43,6 +43,11 @@
 	// peerFetchInterval is the time between calls to other hosts while the store
 	// does not answer.
 	peerFetchInterval = 300 * time.Millisecond
+	// lastingAsks is the number of hosts that are asked for the lasting record after
+	// a start, and after the store was restored: a host that has started since knows
+	// no more than the store. lastingTries limits the calls.
+	lastingAsks  = 3
+	lastingTries = 12
 	// peerFetchDelay is how long a starting host waits for the store before it
 	// also asks other hosts.
 	peerFetchDelay = 250 * time.Millisecond
@@ -59,13 +64,17 @@
 	Remove(key string)
 	// Synced is called once the first copy is complete.
 	Synced()
+	// Restored is called after the copy was replaced because the store was restored
+	// from an older copy, and began the given era. Puts that follow are of records
+	// that were written since.
+	Restored(era dcstore.Era)
 }
 
 // Peers fetches records from the other hosts while the store is unavailable.
 type Peers interface {
 	// Fetch returns the copy of a host, without its records unless it is newer
-	// than a known revision.
-	Fetch(ctx context.Context, known dcstore.Revision) (dcstore.Copy, error)
+	// than a known position. With lasting set, the copy includes the lasting record.
+	Fetch(ctx context.Context, known dcstore.Position, lasting bool) (dcstore.Copy, error)
 }
 
 // Mirror maintains the copy. Set the exported fields before Run.
@@ -74,6 +83,7 @@
 	// Peers may be nil.
 	Peers    Peers
 	Prefix   string
+	Lasting  Lasting
 	Observer Observer
 	// MaxBatchDelay limits the pause after an answer; 800 ms when 0.
 	MaxBatchDelay time.Duration
@@ -85,15 +95,18 @@
 
 	mu       sync.Mutex
 	set      *recordSet
-	revision dcstore.Revision
+	position dcstore.Position
 	// storeReached is set once the store has answered.
 	storeReached bool
 	// unavailable is set while the store does not answer.
 	unavailable bool
 	synced      bool
-	// missedRevision is the revision of the last probe when the copy had not
-	// reached it, 0 when it had.
-	missedRevision dcstore.Revision
+	// missed is the position of the last probe when the copy had not reached it,
+	// zero when it had.
+	missed dcstore.Position
+	// lastingAsks is the number of hosts that are still to be asked for the lasting
+	// record, and lastingTries the number of calls that are left for that.
+	lastingAsks, lastingTries int
 	// cancelWatch cancels the call that waits for changes, nil when there is
 	// none.
 	cancelWatch context.CancelFunc
@@ -102,15 +115,19 @@
 }
 
 // Copy returns the copy, without its records unless it is newer than a known
-// revision. Its revision is 0 when there is none.
-func (m *Mirror) Copy(known dcstore.Revision) dcstore.Copy {
+// position. Its position is zero when there is none. With lasting set, it includes
+// the lasting record.
+func (m *Mirror) Copy(known dcstore.Position, lasting bool) dcstore.Copy {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.synced {
 		return dcstore.Copy{}
 	}
-	copied := dcstore.Copy{Revision: m.revision}
-	if m.revision > known {
+	copied := dcstore.Copy{Position: m.position}
+	if record, ok := m.set.records[m.Lasting.Key]; ok && lasting {
+		copied.Lasting = &record
+	}
+	if m.position.After(known) {
 		copied.Records = slices.Collect(maps.Values(m.set.records))
 		copied.PendingRemovals = slices.Collect(maps.Keys(m.set.pendingRemoval))
 	}
@@ -120,7 +137,7 @@
 // Run follows the store until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	m.mu.Lock()
-	m.set = newRecordSet(m.Observer)
+	m.set = newRecordSet(m.Observer, m.Lasting)
 	m.mu.Unlock()
 	updates := make(chan update)
 	group, ctx := errgroup.WithContext(ctx)
@@ -171,28 +188,33 @@
 	// pendingRemovals lists the records of another host whose removal is pending
 	// there.
 	pendingRemovals []string
-	revision        dcstore.Revision
-	// copyRevision is the revision of the copy when the call to the store began.
-	copyRevision dcstore.Revision
+	position        dcstore.Position
+	// lasting is the lasting record of another host, nil if it was not asked for or
+	// is not known there.
+	lasting *dcstore.Record
+	// askedLasting is set if the other host was asked for the lasting record.
+	askedLasting bool
+	// copyPosition is the position of the copy when the call to the store began.
+	copyPosition dcstore.Position
 	err          error
 }
 
 // watchStore reads a snapshot and then waits for changes, one call after the
 // other.
 func (m *Mirror) watchStore(ctx context.Context, updates chan<- update) {
-	var revision dcstore.Revision
+	var position dcstore.Position
 	haveSnapshot := false
 	for ctx.Err() == nil {
-		if m.isAhead(revision) {
+		if m.isAhead(position) {
 			// The copy of another host was newer. Changes that it already includes
 			// must not be applied again, so a new snapshot is read.
 			haveSnapshot = false
 		}
-		update := update{snapshot: !haveSnapshot, copyRevision: m.copyRevision()}
+		update := update{snapshot: !haveSnapshot, copyPosition: m.copyPosition()}
 		if haveSnapshot {
 			watchCtx, cancel := clockwork.WithTimeout(ctx, m.Clock, watchTimeout)
 			m.setWatch(cancel)
-			update.changes, update.revision, update.err = m.History.Changes(watchCtx, m.Prefix, revision)
+			update.changes, update.position, update.err = m.History.Changes(watchCtx, m.Prefix, position)
 			m.setWatch(nil)
 			watchEnded := watchCtx.Err() != nil && update.err != nil
 			cancel()
@@ -200,7 +222,7 @@
 				continue
 			}
 		} else {
-			update.records, update.revision, update.err = m.History.Snapshot(ctx, m.Prefix)
+			update.records, update.position, update.err = m.History.Snapshot(ctx, m.Prefix)
 		}
 		pause := m.nextBatchDelay()
 		switch {
@@ -210,7 +232,7 @@
 		case update.err != nil:
 			pause = 0
 		default:
-			haveSnapshot, revision, m.backoff = true, update.revision, 0
+			haveSnapshot, position, m.backoff = true, update.position, 0
 		}
 		select {
 		case updates <- update:
@@ -229,9 +251,9 @@
 func (m *Mirror) awaitStore(ctx context.Context, updates chan<- update) {
 	for ctx.Err() == nil {
 		m.wait(ctx, m.nextBackoff())
-		revision, err := m.History.Probe(ctx)
+		position, err := m.History.Probe(ctx)
 		select {
-		case updates <- update{probe: true, revision: revision, err: err}:
+		case updates <- update{probe: true, position: position, err: err}:
 		case <-ctx.Done():
 		}
 		if err == nil {
@@ -240,19 +262,19 @@
 	}
 }
 
-// copyRevision returns the revision of the copy.
-func (m *Mirror) copyRevision() dcstore.Revision {
+// copyPosition returns the position of the copy.
+func (m *Mirror) copyPosition() dcstore.Position {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.revision
+	return m.position
 }
 
-// isAhead reports whether the copy is newer than the revision that watchStore
-// has read.
-func (m *Mirror) isAhead(revision dcstore.Revision) bool {
+// isAhead reports whether the copy is newer than the position that watchStore has
+// read.
+func (m *Mirror) isAhead(position dcstore.Position) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.revision > revision
+	return m.position.After(position)
 }
 
 // nextBatchDelay returns the pause after an answer.
@@ -270,7 +292,7 @@
 }
 
 // probe asks the store at intervals, while a call waits for changes, whether it
-// answers and which revision it has reached.
+// answers and which position it has reached.
 func (m *Mirror) probe(ctx context.Context, updates chan<- update) {
 	for {
 		m.wait(ctx, probeInterval)
@@ -280,9 +302,9 @@
 		if !m.isWatching() {
 			continue
 		}
-		revision, err := m.History.Probe(ctx)
+		position, err := m.History.Probe(ctx)
 		select {
-		case updates <- update{probe: true, revision: revision, err: err}:
+		case updates <- update{probe: true, position: position, err: err}:
 		case <-ctx.Done():
 			return
 		}
@@ -298,33 +320,33 @@
 }
 
 // applyProbe cancels a watch that has stalled: one that was waiting during a
-// failed probe, or one that has not delivered the revision of a probe by the
-// next probe.
+// failed probe, one that has not delivered the position of a probe by the next
+// probe, or one that follows the history of an earlier era.
 func (m *Mirror) applyProbe(update update, now time.Time) {
 	if update.err != nil {
 		m.watchSuspect = m.cancelWatch != nil
 		m.lost(update.err)
 		return
 	}
-	m.recovered(update.revision, now)
-	stalled := m.watchSuspect || m.missedRevision != 0 && m.revision < m.missedRevision
-	m.missedRevision = 0
-	if update.revision > m.revision {
-		m.missedRevision = update.revision
+	m.recovered(update.position, now)
+	stalled := m.watchSuspect || m.position.Before(m.missed) || update.position.Era > m.position.Era
+	m.missed = dcstore.Position{}
+	if update.position.After(m.position) {
+		m.missed = update.position
 	}
 	if m.cancelWatch != nil && stalled {
-		m.Log.Warn("watch of the store ended, it is silent", zap.Int64("revision", int64(m.revision)), zap.Int64("reached", int64(update.revision)))
+		m.Log.Warn("watch of the store ended, it is silent", positionField("position", m.position), positionField("reached", update.position))
 		m.cancelWatch()
 		m.cancelWatch = nil
 	}
 }
 
 // recovered records that the store has answered.
-func (m *Mirror) recovered(revision dcstore.Revision, now time.Time) {
+func (m *Mirror) recovered(position dcstore.Position, now time.Time) {
 	if m.unavailable {
 		m.unavailable = false
 		m.set.recovered = now
-		m.Log.Info("store regained", zap.Int64("revision", int64(revision)))
+		m.Log.Info("store regained", positionField("position", position))
 	}
 }
 
@@ -366,40 +388,72 @@
 		m.applyProbe(update, now)
 		return
 	case errors.Is(update.err, dcstore.ErrCompacted):
-		m.Log.Warn("store history is gone, reading everything again", zap.Int64("revision", int64(update.revision)))
+		m.Log.Warn("store history is gone, reading everything again", positionField("position", update.position))
 		return
 	case update.err != nil:
 		m.lost(update.err)
 		return
 	}
 	m.storeReached = true
-	m.recovered(update.revision, now)
-	if update.revision < m.revision && update.copyRevision < m.revision {
+	m.recovered(update.position, now)
+	if update.position.Before(m.position) && update.copyPosition.Before(m.position) {
 		// The copy of another host arrived during the call. The answer may list
 		// records that are gone in it; watchStore reads a new snapshot.
-		m.Log.Info("answer of the store ignored, the copy is newer", zap.Int64("revision", int64(update.revision)), zap.Int64("own-revision", int64(m.revision)))
+		m.Log.Info("answer of the store ignored, the copy is newer", positionField("position", update.position), positionField("own-position", m.position))
 		return
 	}
-	m.revision = update.revision
-	if update.snapshot {
-		m.set.replace(update.records, now)
-	} else {
+	if !update.snapshot {
+		m.position = update.position
 		m.set.change(update.changes, now)
+		m.markSynced()
+		return
+	}
+	// A store that names no era shows by its revision alone that it was restored.
+	restored := m.synced && (update.position.Era > m.position.Era || update.position.Before(m.position))
+	if restored {
+		m.Log.Warn("store was restored from an older copy", positionField("position", update.position), positionField("own-position", m.position))
+		m.set.recovered = now
+	}
+	m.position = update.position
+	m.set.replace(update.records, restored, now)
+	if restored {
+		m.Observer.Restored(m.position.Era)
+	}
+	if restored || !m.synced {
+		m.lastingAsks, m.lastingTries = lastingAsks, lastingTries
 	}
 	m.markSynced()
 }
 
-// applyPeer takes the copy of another host if it is newer, even if that host
-// has not reached the store either.
+// positionField logs a position in the store's history.
+func positionField(key string, position dcstore.Position) zap.Field {
+	return zap.Dict(key, zap.Int64("era", int64(position.Era)), zap.Int64("revision", int64(position.Revision)))
+}
+
+// applyPeer takes the copy of another host if it is newer, even if that host has
+// not reached the store either, and its lasting record if that is newer.
 func (m *Mirror) applyPeer(update update, now time.Time) {
-	if update.revision <= m.revision || len(update.records) == 0 {
+	if update.askedLasting && m.lastingAsks > 0 {
+		m.lastingAsks--
+	}
+	if update.lasting != nil && m.set.offer(*update.lasting) {
+		m.Log.Info("record taken from another host, it is newer than that of the store", zap.String("key", update.lasting.Key))
+	}
+	if !update.position.After(m.position) || len(update.records) == 0 {
 		return
 	}
+	restored := m.synced && update.position.Era > m.position.Era
 	m.Log.Info("records taken from another host", zap.Int("records", len(update.records)),
-		zap.Int64("revision", int64(update.revision)), zap.Int64("own-revision", int64(m.revision)))
-	m.revision = update.revision
-	m.set.replace(update.records, now)
-	// That host drops these records without a change of its revision, so that no
+		positionField("position", update.position), positionField("own-position", m.position), zap.Bool("restored", restored))
+	if restored {
+		m.set.recovered = now
+	}
+	m.position = update.position
+	m.set.replace(update.records, restored, now)
+	if restored {
+		m.Observer.Restored(m.position.Era)
+	}
+	// That host drops these records without a change of its position, so that no
 	// later copy would tell.
 	for _, key := range update.pendingRemovals {
 		m.set.scheduleRemoval(key, now.Add(outageRemovalDelay))
@@ -426,30 +480,34 @@
 		if ctx.Err() != nil {
 			return
 		}
-		known, ask := m.needsPeers(started)
+		known, lasting, ask := m.needsPeers(started)
 		if !ask {
 			continue
 		}
-		copied, err := m.Peers.Fetch(ctx, known)
+		copied, err := m.Peers.Fetch(ctx, known, lasting)
 		if err != nil {
 			m.Log.Info("no records from another host", zap.String("error", err.Error()))
 			continue
 		}
 		select {
-		case updates <- update{peer: true, records: copied.Records, pendingRemovals: copied.PendingRemovals, revision: copied.Revision}:
+		case updates <- update{peer: true, records: copied.Records, pendingRemovals: copied.PendingRemovals, position: copied.Position, lasting: copied.Lasting, askedLasting: lasting}:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// needsPeers returns the revision of the copy and whether other hosts are to be
-// asked for a newer one.
-func (m *Mirror) needsPeers(started time.Time) (known dcstore.Revision, ask bool) {
+// needsPeers returns the position of the copy, whether other hosts are to be asked
+// for a newer one, and whether for their lasting record.
+func (m *Mirror) needsPeers(started time.Time) (known dcstore.Position, lasting, ask bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.Lasting.Key != "" && m.synced && m.lastingAsks > 0 && m.lastingTries > 0 {
+		m.lastingTries--
+		return m.position, true, true
+	}
 	if !m.storeReached {
-		return m.revision, m.Clock.Since(started) >= peerFetchDelay
+		return m.position, false, m.Clock.Since(started) >= peerFetchDelay
 	}
-	return m.revision, m.unavailable
+	return m.position, false, m.unavailable
 }
--- a/internal/dcmirror/dcmirror_test.go
+++ b/internal/dcmirror/dcmirror_test.go
@@ -20,6 +20,8 @@
 type recordingObserver struct {
 	mu    sync.Mutex
 	calls []string
+	// restored holds the eras that began.
+	restored []dcstore.Era
 }
 
 func (r *recordingObserver) add(call string) {
@@ -34,6 +36,11 @@
 func (r *recordingObserver) RemovalPending(key string) { r.add("pending " + key) }
 func (r *recordingObserver) Remove(key string)         { r.add("remove " + key) }
 func (r *recordingObserver) Synced()                   { r.add("synced") }
+func (r *recordingObserver) Restored(era dcstore.Era) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.restored = append(r.restored, era)
+}
 
 func (r *recordingObserver) take() string {
 	r.mu.Lock()
@@ -45,6 +52,9 @@
 
 var startTime = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// at returns a position in the first era.
+func at(revision dcstore.Revision) dcstore.Position { return dcstore.Position{Revision: revision} }
+
 func newRecord(key string, revision dcstore.Revision) dcstore.Record {
 	return dcstore.Record{Key: key, Value: []byte{'v'}, Modified: revision}
 }
@@ -58,13 +68,13 @@
 // them again.
 func TestExpiredRecords(t *testing.T) {
 	var observer recordingObserver
-	set := newRecordSet(&observer)
-	set.replace([]dcstore.Record{newRecord("a", 1), newRecord("b", 2)}, startTime)
+	set := newRecordSet(&observer, Lasting{})
+	set.replace([]dcstore.Record{newRecord("a", 1), newRecord("b", 2)}, false, startTime)
 	if got := observer.take(); got != "put a=v, put b=v" {
 		t.Fatal(got)
 	}
 	set.recovered = startTime
-	set.replace(nil, startTime)
+	set.replace(nil, false, startTime)
 	if got := observer.take(); !strings.Contains(got, "pending a") || !strings.Contains(got, "pending b") {
 		t.Fatal(got)
 	}
@@ -83,8 +93,8 @@
 // pages of a snapshot and changes can overlap.
 func TestOutdatedChanges(t *testing.T) {
 	var observer recordingObserver
-	set := newRecordSet(&observer)
-	set.replace([]dcstore.Record{newRecord("a", 7)}, startTime)
+	set := newRecordSet(&observer, Lasting{})
+	set.replace([]dcstore.Record{newRecord("a", 7)}, false, startTime)
 	set.change([]dcstore.Change{{Record: newRecord("a", 6)}, newRemoval("a", 5), newRemoval("x", 9)}, startTime)
 	if got := observer.take(); got != "put a=v" {
 		t.Error(got)
@@ -118,16 +128,18 @@
 	return answer
 }
 
-func (s *scriptedHistory) Snapshot(ctx context.Context, _ string) ([]dcstore.Record, dcstore.Revision, error) {
+func (s *scriptedHistory) Snapshot(ctx context.Context, _ string) ([]dcstore.Record, dcstore.Position, error) {
 	answer := s.next(ctx, "snapshot")
-	return answer.records, answer.revision, answer.err
+	return answer.records, answer.position, answer.err
 }
 
-func (s *scriptedHistory) Probe(context.Context) (dcstore.Revision, error) { return 0, nil }
+func (s *scriptedHistory) Probe(context.Context) (dcstore.Position, error) {
+	return dcstore.Position{}, nil
+}
 
-func (s *scriptedHistory) Changes(ctx context.Context, _ string, _ dcstore.Revision) ([]dcstore.Change, dcstore.Revision, error) {
+func (s *scriptedHistory) Changes(ctx context.Context, _ string, _ dcstore.Position) ([]dcstore.Change, dcstore.Position, error) {
 	answer := s.next(ctx, "changes")
-	return answer.changes, answer.revision, answer.err
+	return answer.changes, answer.position, answer.err
 }
 
 // TestRun guards against a copy that is no longer updated after its history is
@@ -137,12 +149,12 @@
 func testRun(t *testing.T) {
 	history := &scriptedHistory{answers: []update{
 		{err: errors.New("refused")},
-		{records: []dcstore.Record{newRecord("a", 1)}, revision: 1},
-		{changes: []dcstore.Change{{Record: newRecord("a", 2)}}, revision: 2},
+		{records: []dcstore.Record{newRecord("a", 1)}, position: at(1)},
+		{changes: []dcstore.Change{{Record: newRecord("a", 2)}}, position: at(2)},
 		{err: dcstore.ErrCompacted},
-		{records: []dcstore.Record{newRecord("a", 2), newRecord("b", 3)}, revision: 3},
+		{records: []dcstore.Record{newRecord("a", 2), newRecord("b", 3)}, position: at(3)},
 		{err: errors.New("reset")},
-		{changes: []dcstore.Change{newRemoval("b", 4)}, revision: 4},
+		{changes: []dcstore.Change{newRemoval("b", 4)}, position: at(4)},
 	}}
 	var observer recordingObserver
 	mirror := &Mirror{History: history, Observer: &observer, Clock: clockwork.NewRealClock(), Log: zap.NewNop()}
@@ -170,37 +182,37 @@
 type stalledHistory struct {
 	mu       sync.Mutex
 	watches  int
-	revision dcstore.Revision
+	position dcstore.Position
 	probeErr error
 }
 
-func (s *stalledHistory) Snapshot(context.Context, string) ([]dcstore.Record, dcstore.Revision, error) {
-	return []dcstore.Record{newRecord("a", 1)}, 1, nil
+func (s *stalledHistory) Snapshot(context.Context, string) ([]dcstore.Record, dcstore.Position, error) {
+	return []dcstore.Record{newRecord("a", 1)}, at(1), nil
 }
 
-func (s *stalledHistory) Probe(context.Context) (dcstore.Revision, error) {
+func (s *stalledHistory) Probe(context.Context) (dcstore.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.revision, s.probeErr
+	return s.position, s.probeErr
 }
 
-func (s *stalledHistory) Changes(ctx context.Context, _ string, after dcstore.Revision) ([]dcstore.Change, dcstore.Revision, error) {
+func (s *stalledHistory) Changes(ctx context.Context, _ string, after dcstore.Position) ([]dcstore.Change, dcstore.Position, error) {
 	s.mu.Lock()
 	s.watches++
 	first := s.watches == 1
 	s.mu.Unlock()
-	if first || after >= 2 {
+	if first || !after.Before(at(2)) {
 		<-ctx.Done()
 		return nil, after, ctx.Err()
 	}
-	return []dcstore.Change{{Record: newRecord("a", 2)}}, 2, nil
+	return []dcstore.Change{{Record: newRecord("a", 2)}}, at(2), nil
 }
 
 // TestStalledWatch guards against missing changes for as long as a watch may
 // wait, because its connection has stalled or the store does not answer.
 func TestStalledWatch(t *testing.T) {
 	for name, change := range map[string]func(*stalledHistory){
-		"connection": func(s *stalledHistory) { s.revision = 2 },
+		"connection": func(s *stalledHistory) { s.position = at(2) },
 		"service":    func(s *stalledHistory) { s.probeErr = errors.New("no answer") },
 		// The revisions of probes may be seconds old, and then do not show what a
 		// watch has missed.
@@ -208,7 +220,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				history := &stalledHistory{revision: 1}
+				history := &stalledHistory{position: at(1)}
 				var observer recordingObserver
 				mirror := &Mirror{History: history, Observer: &observer, Clock: clockwork.NewRealClock(), Log: zap.NewNop()}
 				ctx, cancel := context.WithCancel(t.Context())
@@ -237,9 +249,9 @@
 // a.
 type fakePeer struct{}
 
-func (fakePeer) Fetch(_ context.Context, known dcstore.Revision) (dcstore.Copy, error) {
-	copied := dcstore.Copy{Revision: 9}
-	if known < 9 {
+func (fakePeer) Fetch(_ context.Context, known dcstore.Position, _ bool) (dcstore.Copy, error) {
+	copied := dcstore.Copy{Position: at(9)}
+	if known.Before(at(9)) {
 		copied.Records = []dcstore.Record{newRecord("b", 9)}
 	}
 	return copied, nil
@@ -249,12 +261,12 @@
 // still exists, and the second one with the state of fakePeer.
 type slowHistory struct{ scriptedHistory }
 
-func (s *slowHistory) Snapshot(ctx context.Context, prefix string) ([]dcstore.Record, dcstore.Revision, error) {
-	records, revision, err := s.scriptedHistory.Snapshot(ctx, prefix)
-	if revision < 9 {
+func (s *slowHistory) Snapshot(ctx context.Context, prefix string) ([]dcstore.Record, dcstore.Position, error) {
+	records, position, err := s.scriptedHistory.Snapshot(ctx, prefix)
+	if position.Before(at(9)) {
 		time.Sleep(time.Second)
 	}
-	return records, revision, err
+	return records, position, err
 }
 
 // TestDelayedSnapshot guards against an answer of the store that was delayed
@@ -264,8 +276,8 @@
 
 func testDelayedSnapshot(t *testing.T) {
 	history := &slowHistory{scriptedHistory{answers: []update{
-		{records: []dcstore.Record{newRecord("a", 1)}, revision: 5},
-		{records: []dcstore.Record{newRecord("b", 9), newRecord("c", 11)}, revision: 11},
+		{records: []dcstore.Record{newRecord("a", 1)}, position: at(5)},
+		{records: []dcstore.Record{newRecord("b", 9), newRecord("c", 11)}, position: at(11)},
 	}}}
 	var observer recordingObserver
 	mirror := &Mirror{History: history, Peers: fakePeer{}, Observer: &observer, Clock: clockwork.NewRealClock(), Log: zap.NewNop()}
@@ -283,14 +295,14 @@
 // because another host claims a revision that the store has not reached.
 func TestSnapshotBehindPeer(t *testing.T) {
 	var observer recordingObserver
-	mirror := &Mirror{Observer: &observer, Clock: clockwork.NewFakeClock(), Log: zap.NewNop(), set: newRecordSet(&observer)}
-	mirror.apply(update{peer: true, records: []dcstore.Record{newRecord("b", 9)}, revision: 9})
-	mirror.apply(update{snapshot: true, copyRevision: 9, records: []dcstore.Record{newRecord("c", 4)}, revision: 4})
+	mirror := &Mirror{Observer: &observer, Clock: clockwork.NewFakeClock(), Log: zap.NewNop(), set: newRecordSet(&observer, Lasting{})}
+	mirror.apply(update{peer: true, records: []dcstore.Record{newRecord("b", 9)}, position: at(9)})
+	mirror.apply(update{snapshot: true, copyPosition: at(9), records: []dcstore.Record{newRecord("c", 4)}, position: at(4)})
 	if got := observer.take(); got != "put b=v, synced, put c=v, pending b" {
 		t.Error(got)
 	}
-	if mirror.revision != 4 {
-		t.Errorf("revision %d, want that of the store", mirror.revision)
+	if mirror.position != at(4) {
+		t.Errorf("position %v, want that of the store", mirror.position)
 	}
 }
 
@@ -300,12 +312,12 @@
 func TestPendingRemovalOfPeer(t *testing.T) {
 	var observer, unused recordingObserver
 	clock := clockwork.NewFakeClock()
-	first := &Mirror{Clock: clock, Log: zap.NewNop(), Observer: &unused, set: newRecordSet(&unused)}
-	first.apply(update{snapshot: true, records: []dcstore.Record{newRecord("a", 1), newRecord("b", 2)}, revision: 2})
-	first.apply(update{changes: []dcstore.Change{newRemoval("a", 3)}, revision: 3})
-	copied := first.Copy(0)
-	second := &Mirror{Clock: clock, Log: zap.NewNop(), Observer: &observer, set: newRecordSet(&observer)}
-	second.apply(update{peer: true, records: copied.Records, pendingRemovals: copied.PendingRemovals, revision: copied.Revision})
+	first := &Mirror{Clock: clock, Log: zap.NewNop(), Observer: &unused, set: newRecordSet(&unused, Lasting{})}
+	first.apply(update{snapshot: true, records: []dcstore.Record{newRecord("a", 1), newRecord("b", 2)}, position: at(2)})
+	first.apply(update{changes: []dcstore.Change{newRemoval("a", 3)}, position: at(3)})
+	copied := first.Copy(dcstore.Position{}, false)
+	second := &Mirror{Clock: clock, Log: zap.NewNop(), Observer: &observer, set: newRecordSet(&observer, Lasting{})}
+	second.apply(update{peer: true, records: copied.Records, pendingRemovals: copied.PendingRemovals, position: copied.Position})
 	observer.take()
 	second.set.removeDue(clock.Now().Add(outageRemovalDelay))
 	if got := observer.take(); got != "remove a" {
@@ -320,9 +332,9 @@
 
 func testChangesAfterPeer(t *testing.T) {
 	history := &scriptedHistory{answers: []update{
-		{records: []dcstore.Record{newRecord("a", 1)}, revision: 1},
+		{records: []dcstore.Record{newRecord("a", 1)}, position: at(1)},
 		{err: errors.New("refused")}, {err: errors.New("refused")}, {err: errors.New("refused")},
-		{records: []dcstore.Record{newRecord("b", 9)}, revision: 9},
+		{records: []dcstore.Record{newRecord("b", 9)}, position: at(9)},
 	}}
 	var observer recordingObserver
 	mirror := &Mirror{History: history, Peers: fakePeer{}, Observer: &observer, Clock: clockwork.NewRealClock(), Log: zap.NewNop()}
@@ -349,10 +361,10 @@
 	calls    atomic.Int64
 }
 
-func (c *countingHistory) Changes(ctx context.Context, _ string, after dcstore.Revision) ([]dcstore.Change, dcstore.Revision, error) {
+func (c *countingHistory) Changes(ctx context.Context, _ string, after dcstore.Position) ([]dcstore.Change, dcstore.Position, error) {
 	c.calls.Add(1)
 	if c.changing {
-		return []dcstore.Change{{Record: newRecord("a", after+1)}}, after + 1, nil
+		return []dcstore.Change{{Record: newRecord("a", after.Revision+1)}}, at(after.Revision + 1), nil
 	}
 	const wait = 2 * time.Second
 	time.Sleep(wait)
--- a/internal/dcmirror/record_set.go
+++ b/internal/dcmirror/record_set.go
@@ -1,6 +1,7 @@
 package dcmirror
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/dandelioncart/dandelioncart/internal/dcstore"
@@ -23,24 +24,30 @@
 	records  map[string]dcstore.Record
 	// pendingRemoval holds the time at which a removed record is dropped.
 	pendingRemoval map[string]time.Time
-	// recovered is the time at which the store last became available again.
+	// recovered is the time at which the store last became available again, or was
+	// found to be restored.
 	recovered time.Time
+	// lasting selects the record that is kept until a newer one is written.
+	lasting Lasting
 }
 
-func newRecordSet(observer Observer) *recordSet {
+func newRecordSet(observer Observer, lasting Lasting) *recordSet {
 	return &recordSet{
 		observer:       observer,
+		lasting:        lasting,
 		records:        make(map[string]dcstore.Record),
 		pendingRemoval: make(map[string]time.Time),
 	}
 }
 
-// replace takes a snapshot of all records that the store holds.
-func (s *recordSet) replace(records []dcstore.Record, now time.Time) {
+// replace takes a snapshot of all records that the store holds. restored is set if
+// the store was restored from a copy since the records were read; the revisions of
+// the snapshot say nothing then of what is newer.
+func (s *recordSet) replace(records []dcstore.Record, restored bool, now time.Time) {
 	present := make(map[string]bool, len(records))
 	for _, record := range records {
 		present[record.Key] = true
-		s.put(record)
+		s.put(record, restored)
 	}
 	for key := range s.records {
 		if !present[key] {
@@ -54,28 +61,49 @@
 func (s *recordSet) change(changes []dcstore.Change, now time.Time) {
 	for _, change := range changes {
 		if change.Removed {
-			if s.records[change.Key].Modified < change.Modified {
+			if known, ok := s.records[change.Key]; ok && change.Position().After(known.Position()) {
 				s.scheduleRemoval(change.Key, s.removalTime(now))
 			}
 			continue
 		}
-		s.put(change.Record)
+		s.put(change.Record, false)
 	}
 }
 
-// put takes a record if it is newer than the known one, or if the removal of
-// that one is pending.
-func (s *recordSet) put(record dcstore.Record) {
+// put takes a record if it is newer than the known one, if the removal of that one
+// is pending, or if the store was restored and holds another value. The lasting
+// record is replaced only by one that is newer by its content.
+func (s *recordSet) put(record dcstore.Record, restored bool) {
 	known, ok := s.records[record.Key]
 	_, pendingRemoval := s.pendingRemoval[record.Key]
-	if ok && record.Modified <= known.Modified && !pendingRemoval {
+	if ok && !restored && !pendingRemoval && !record.Position().After(known.Position()) {
 		return
 	}
 	delete(s.pendingRemoval, record.Key)
+	kept := ok && s.lasting.keeps(known, record)
+	if kept {
+		record.Value = known.Value
+	}
 	s.records[record.Key] = record
+	if kept || ok && restored && !pendingRemoval && bytes.Equal(record.Value, known.Value) {
+		return
+	}
 	s.observer.Put(record)
 }
 
+// offer takes the lasting record of another host if it is newer than the known
+// one. It keeps the position of that one, with which the store continues.
+func (s *recordSet) offer(record dcstore.Record) (taken bool) {
+	known, ok := s.records[record.Key]
+	if record.Key != s.lasting.Key || ok && !s.lasting.Newer(record.Value, known.Value) {
+		return false
+	}
+	record.Era, record.Modified = known.Era, known.Modified
+	s.records[record.Key] = record
+	s.observer.Put(record)
+	return true
+}
+
 // removalTime returns when a record is dropped whose removal this host learns of
 // now.
 func (s *recordSet) removalTime(now time.Time) time.Time {
@@ -88,7 +116,7 @@
 
 // scheduleRemoval marks a record as pending removal until the given time.
 func (s *recordSet) scheduleRemoval(key string, until time.Time) {
-	if _, ok := s.records[key]; !ok {
+	if _, ok := s.records[key]; !ok || key == s.lasting.Key {
 		return
 	}
 	if _, ok := s.pendingRemoval[key]; ok {
@@ -120,3 +148,18 @@
 	}
 	return nextRemoval, ok
 }
+
+// Lasting selects a record that stays in force until a newer one is written, also
+// when the store is restored from a copy that holds an older one or none.
+type Lasting struct {
+	// Key is the key of the record, empty for none.
+	Key string
+	// Newer reports whether a value of the record is newer than another one. A value
+	// that cannot be read is not.
+	Newer func(value, other []byte) bool
+}
+
+// keeps reports whether the known record stays in force instead of a listed one.
+func (l *Lasting) keeps(known, listed dcstore.Record) bool {
+	return l.Key != "" && known.Key == l.Key && l.Newer(known.Value, listed.Value)
+}
--- a/internal/dcrelay/dcrelay.go
+++ b/internal/dcrelay/dcrelay.go
@@ -36,8 +36,8 @@
 // RecordServer serves this host's copy of the records to other hosts.
 type RecordServer struct {
 	// Copy returns this host's copy, without its records unless it is newer than
-	// the known revision.
-	Copy func(known dcstore.Revision) dcstore.Copy
+	// the known position, and with its lasting record if that is asked for.
+	Copy func(known dcstore.Position, lasting bool) dcstore.Copy
 	// Host returns the host record of this host.
 	Host func() *hostv1.Record
 	// Merge takes the suspicions of another host, and Suspicions returns those of
@@ -55,10 +55,16 @@
 
 // FetchRecords implements hostv1connect.HostServiceHandler.
 func (s *RecordServer) FetchRecords(_ context.Context, request *connect.Request[hostv1.FetchRecordsRequest]) (*connect.Response[hostv1.FetchRecordsResponse], error) {
-	copied := s.Copy(dcstore.Revision(request.Msg.GetKnownRevision()))
-	response := &hostv1.FetchRecordsResponse{Host: s.Host(), Revision: int64(copied.Revision), PendingRemovals: copied.PendingRemovals}
-	for _, record := range copied.Records {
-		response.Records = append(response.Records, &hostv1.StoredRecord{Key: record.Key, Value: record.Value, Modified: int64(record.Modified)})
+	known := dcstore.Position{Era: dcstore.Era(request.Msg.GetKnownEra()), Revision: dcstore.Revision(request.Msg.GetKnownRevision())}
+	copied := s.Copy(known, request.Msg.GetLasting())
+	response := &hostv1.FetchRecordsResponse{
+		Host: s.Host(), Era: int64(copied.Position.Era), Revision: int64(copied.Position.Revision), PendingRemovals: copied.PendingRemovals,
+	}
+	if copied.Lasting != nil {
+		response.Lasting = toMessage(copied.Lasting)
+	}
+	for i := range copied.Records {
+		response.Records = append(response.Records, toMessage(&copied.Records[i]))
 	}
 	return connect.NewResponse(response), nil
 }
@@ -85,10 +91,19 @@
 	Random         *rand.Rand
 }
 
+func toMessage(record *dcstore.Record) *hostv1.StoredRecord {
+	return &hostv1.StoredRecord{Key: record.Key, Value: record.Value, Era: int64(record.Era), Modified: int64(record.Modified)}
+}
+
+func fromMessage(message *hostv1.StoredRecord) dcstore.Record {
+	return dcstore.Record{Key: message.GetKey(), Value: message.GetValue(), Era: dcstore.Era(message.GetEra()), Modified: dcstore.Revision(message.GetModified())}
+}
+
 // Fetch requests the records from another host, selected at random, if its copy
-// is newer than the known revision. Otherwise it returns no records. Its error
-// wraps ErrNoHost if Addresses returns none.
-func (c *Client) Fetch(ctx context.Context, known dcstore.Revision) (copied dcstore.Copy, err error) {
+// is newer than the known position. Otherwise it returns no records. With lasting
+// set, it also requests the lasting record. Its error wraps ErrNoHost if Addresses
+// returns none.
+func (c *Client) Fetch(ctx context.Context, known dcstore.Position, lasting bool) (copied dcstore.Copy, err error) {
 	defer func() { err = eris.Wrap(err, "fetch records from another host") }()
 	addresses := c.Addresses()
 	if len(addresses) == 0 {
@@ -98,16 +113,25 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	stub := hostv1connect.NewHostServiceClient(c.HTTP, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
-	response, err := stub.FetchRecords(ctx, connect.NewRequest(&hostv1.FetchRecordsRequest{KnownRevision: int64(known)}))
+	response, err := stub.FetchRecords(ctx, connect.NewRequest(&hostv1.FetchRecordsRequest{
+		KnownEra: int64(known.Era), KnownRevision: int64(known.Revision), Lasting: lasting,
+	}))
 	if err != nil {
 		return dcstore.Copy{}, err
 	}
 	if host := response.Msg.GetHost(); host != nil {
 		c.RecordReceived(host)
 	}
-	copied = dcstore.Copy{Revision: dcstore.Revision(response.Msg.GetRevision()), PendingRemovals: response.Msg.GetPendingRemovals()}
-	for _, record := range response.Msg.GetRecords() {
-		copied.Records = append(copied.Records, dcstore.Record{Key: record.GetKey(), Value: record.GetValue(), Modified: dcstore.Revision(record.GetModified())})
+	copied = dcstore.Copy{
+		Position:        dcstore.Position{Era: dcstore.Era(response.Msg.GetEra()), Revision: dcstore.Revision(response.Msg.GetRevision())},
+		PendingRemovals: response.Msg.GetPendingRemovals(),
+	}
+	if message := response.Msg.GetLasting(); message != nil {
+		record := fromMessage(message)
+		copied.Lasting = &record
+	}
+	for _, message := range response.Msg.GetRecords() {
+		copied.Records = append(copied.Records, fromMessage(message))
 	}
 	return copied, nil
 }
--- a/internal/dcrelay/dcrelay_test.go
+++ b/internal/dcrelay/dcrelay_test.go
@@ -18,16 +18,21 @@
 // as long as it cannot reach the store.
 func TestFetch(t *testing.T) {
 	want := dcstore.Copy{
-		Records:         []dcstore.Record{{Key: "a", Value: []byte("v"), Modified: 3}, {Key: "b", Value: []byte("w"), Modified: 4}},
+		Records:         []dcstore.Record{{Key: "a", Value: []byte("v"), Modified: 3, Era: 2}, {Key: "b", Value: []byte("w"), Modified: 4, Era: 2}},
 		PendingRemovals: []string{"a"},
-		Revision:        7,
+		Position:        dcstore.Position{Era: 2, Revision: 7},
 	}
+	lastingRecord := dcstore.Record{Key: "c", Value: []byte("x"), Modified: 9, Era: 1}
 	server := &RecordServer{
-		Copy: func(known dcstore.Revision) dcstore.Copy {
-			if known >= want.Revision {
-				return dcstore.Copy{Revision: want.Revision}
+		Copy: func(known dcstore.Position, lasting bool) dcstore.Copy {
+			copied := want
+			if !known.Before(want.Position) {
+				copied = dcstore.Copy{Position: want.Position}
 			}
-			return want
+			if lasting {
+				copied.Lasting = &lastingRecord
+			}
+			return copied
 		},
 		Host: func() *hostv1.Record { return &hostv1.Record{HostId: "h1"} },
 	}
@@ -42,12 +47,18 @@
 		RecordReceived: func(host *hostv1.Record) { hosts = append(hosts, host.GetHostId()) },
 		Random:         rand.New(rand.NewPCG(1, 1)),
 	}
-	for known, want := range map[dcstore.Revision]dcstore.Copy{0: want, want.Revision: {Revision: want.Revision}} {
-		if got, err := client.Fetch(t.Context(), known); err != nil || !reflect.DeepEqual(got, want) {
-			t.Errorf("known revision %d: got %+v, %v, want %+v", known, got, err, want)
+	earlierEra := dcstore.Position{Era: 1, Revision: 99}
+	for known, want := range map[dcstore.Position]dcstore.Copy{{}: want, earlierEra: want, want.Position: {Position: want.Position}} {
+		for _, lasting := range []bool{false, true} {
+			if lasting {
+				want.Lasting = &lastingRecord
+			}
+			if got, err := client.Fetch(t.Context(), known, lasting); err != nil || !reflect.DeepEqual(got, want) {
+				t.Errorf("known position %v, lasting %t: got %+v, %v, want %+v", known, lasting, got, err, want)
+			}
 		}
 	}
-	if len(hosts) != 2 || hosts[0] != "h1" {
-		t.Errorf("records of hosts %v, want h1 twice", hosts)
+	if len(hosts) != 6 || hosts[0] != "h1" {
+		t.Errorf("records of hosts %v, want h1 six times", hosts)
 	}
 }
--- a/internal/dcstore/store.go
+++ b/internal/dcstore/store.go
@@ -59,6 +59,8 @@
 	Value []byte
 	// Modified is the modification revision of the key.
 	Modified Revision
+	// Era is the era of Modified.
+	Era Era
 }
 
 // Copy is a copy of the records below a prefix.
@@ -67,8 +69,12 @@
 	// PendingRemovals lists the keys of those records that the store no longer
 	// holds, but that may be written again soon.
 	PendingRemovals []string
-	// Revision is the revision of the store that the copy has reached.
-	Revision Revision
+	// Position is the position in the store's history that the copy has reached,
+	// zero if there is none.
+	Position Position
+	// Lasting holds the lasting record if it was asked for and is known. It can be
+	// newer than what the store holds.
+	Lasting *Record
 }
 
 // Swap describes a compare-and-swap of one key.
@@ -122,17 +128,17 @@
 // History is the part of the key-value service with which a client maintains
 // a copy of the records below a prefix.
 type History interface {
-	// Snapshot returns the records below a prefix, and the revision to pass to
+	// Snapshot returns the records below a prefix, and the position to pass to
 	// Changes. The read is linearizable.
-	Snapshot(ctx context.Context, prefix string) ([]Record, Revision, error)
-	// Changes blocks until there are changes after a revision, and returns them
-	// with the revision to pass to the next call. It returns ErrCompacted when
-	// they are no longer kept, and no changes when none happen within a waiting
-	// time that the implementation sets.
-	Changes(ctx context.Context, prefix string, after Revision) ([]Change, Revision, error)
-	// Probe checks that the service answers, and returns a revision that it has
+	Snapshot(ctx context.Context, prefix string) ([]Record, Position, error)
+	// Changes blocks until there are changes after a position, and returns them
+	// with the position to pass to the next call. It returns ErrCompacted when they
+	// are no longer kept, or belong to another era, and no changes when none happen
+	// within a waiting time that the implementation sets.
+	Changes(ctx context.Context, prefix string, after Position) ([]Change, Position, error)
+	// Probe checks that the service answers, and returns a position that it has
 	// reached, which may be seconds old. It costs a tenth of another call.
-	Probe(ctx context.Context) (Revision, error)
+	Probe(ctx context.Context) (Position, error)
 }
 
 // Registry is the part of the key-value service with which a host publishes
