Write host records again after the store was restored

What callers would see: a host whose record and lease were lost with the history stays out of the addresses for callers until its renewal fails, or renews a lease whose ID another host has been given; and a host that ended before the restoration is listed again for good, since its lease is gone too.

Cause: the roster compared revisions across the restoration, and took each record of the list as that of a host with a lease.

Change: when the store was restored, a host takes a new lease and writes its record at once.

--- a/internal/dcroster/dcroster.go
+++ b/internal/dcroster/dcroster.go
@@ -35,6 +35,9 @@
 	// that has lost power. They close connections that have been idle for some
 	// seconds.
 	staleConnectionTime = 12 * time.Second
+	// rewriteTime is how long hosts have to write their records again after the store
+	// was restored. Those that do not are gone, or cut off from the store.
+	rewriteTime = leaseTTL
 	// renewTimeout limits a renewal, with all its calls to the store.
 	renewTimeout = time.Second
 	// confirmationTime is how long a host uses its share of what the hosts divide
@@ -71,8 +74,13 @@
 	synced bool
 	// leaving is set by Leave.
 	leaving bool
-	// revision is the last known revision of the record of this host.
-	revision dcstore.Revision
+	// position is the last known position of the record of this host, and era the
+	// newest known era of the store.
+	position dcstore.Position
+	era      dcstore.Era
+	// restored is set from the restoration of the store from an older copy until the
+	// lease, which may be gone, is replaced.
+	restored bool
 	// recordMissing is set while the store does not hold that record.
 	recordMissing bool
 	// recordWritten is set once this process has written its record.
@@ -96,6 +104,9 @@
 	listed bool
 	// lastSeen is the time at which the host itself last sent its record.
 	lastSeen time.Time
+	// unconfirmed is set while the record has not been written since the store was
+	// restored from an older copy, which may list hosts that are gone.
+	unconfirmed bool
 }
 
 // Run keeps the record of this host in the store until ctx ends. Its lease then
@@ -135,7 +146,7 @@
 		return
 	}
 	if host.GetHostId() == r.Self.GetHostId() {
-		r.putSelf(record.Modified, host.GetState())
+		r.putSelf(record.Position(), host.GetState())
 		return
 	}
 	r.putRecord(host, true)
@@ -143,21 +154,77 @@
 
 // putSelf takes the record of this host from the store. Until this process has
 // written it, the record is that of an earlier process.
-func (r *Roster) putSelf(revision dcstore.Revision, state hostv1.State) {
+func (r *Roster) putSelf(position dcstore.Position, state hostv1.State) {
 	r.mu.Lock()
-	r.revision, r.recordMissing = max(r.revision, revision), false
+	r.setPosition(position)
+	r.recordMissing = false
 	foundEarlierProcess := !r.recordWritten && r.replacedAt.IsZero() && state == hostv1.State_STATE_SERVING
 	if foundEarlierProcess {
 		r.replacedAt = r.Clock.Now()
 	}
 	r.mu.Unlock()
 	if foundEarlierProcess {
-		r.Log.Info("earlier process of this host ended without leaving", zap.Int64("revision", int64(revision)))
+		r.Log.Info("earlier process of this host ended without leaving", zap.Int64("era", int64(position.Era)), zap.Int64("revision", int64(position.Revision)))
 		r.Clock.AfterFunc(staleConnectionTime, r.notifyChange)
 		r.notifyChange()
 	}
 }
 
+// setPosition takes a position of the own record unless a newer one is known. The
+// caller holds the lock.
+func (r *Roster) setPosition(position dcstore.Position) {
+	r.era = max(r.era, position.Era)
+	if position.After(r.position) {
+		r.position = position
+	}
+}
+
+// Restored is called after the store was restored from an older copy. This host
+// takes a new lease and writes its record again. Other hosts that do not write
+// theirs are dropped: the copy may list hosts that were gone already.
+func (r *Roster) Restored(era dcstore.Era) {
+	r.mu.Lock()
+	r.era, r.restored = max(r.era, era), true
+	for _, other := range r.peers {
+		other.unconfirmed = other.listed
+	}
+	r.mu.Unlock()
+	r.Clock.AfterFunc(rewriteTime, r.dropUnconfirmed)
+	r.wakeUp()
+}
+
+// dropUnconfirmed removes the hosts whose record was not written again.
+func (r *Roster) dropUnconfirmed() {
+	r.mu.Lock()
+	var dropped []string
+	for id, other := range r.peers {
+		if !other.unconfirmed {
+			continue
+		}
+		other.unconfirmed = false
+		if r.Clock.Since(other.lastSeen) < leaseTTL {
+			other.listed = false
+			continue
+		}
+		r.depart(id)
+		dropped = append(dropped, string(id))
+	}
+	r.mu.Unlock()
+	if len(dropped) > 0 {
+		r.Log.Info("hosts dropped, they did not write their records again after the store was restored", zap.Strings("peers", dropped))
+		r.notifyChange()
+	}
+}
+
+// depart removes a host. The caller holds the lock.
+func (r *Roster) depart(id dcid.HostID) {
+	delete(r.peers, id)
+	if r.departed == nil {
+		r.departed = make(map[dcid.HostID]time.Time)
+	}
+	r.departed[id] = r.Clock.Now()
+}
+
 // StaleConnections reports whether servers may still hold connections of an
 // earlier process of this host.
 func (r *Roster) StaleConnections() bool {
@@ -190,7 +257,9 @@
 	other.record = host
 	delete(r.departed, id)
 	other.listed = other.listed || listed
-	if !listed {
+	if listed {
+		other.unconfirmed = false
+	} else {
 		other.lastSeen = r.Clock.Now()
 	}
 	r.mu.Unlock()
@@ -241,12 +310,8 @@
 	id := r.hostIDFromKey(key)
 	r.mu.Lock()
 	_, ok := r.peers[id]
-	delete(r.peers, id)
 	if ok {
-		if r.departed == nil {
-			r.departed = make(map[dcid.HostID]time.Time)
-		}
-		r.departed[id] = r.Clock.Now()
+		r.depart(id)
 	}
 	r.mu.Unlock()
 	if ok {
@@ -362,6 +427,14 @@
 	ctx, cancel := clockwork.WithTimeout(ctx, r.Clock, renewTimeout)
 	defer cancel()
 	started := r.Clock.Now()
+	r.mu.Lock()
+	restored := r.restored
+	r.restored = false
+	r.mu.Unlock()
+	if restored {
+		// The lease is gone, or its ID belongs to another host now.
+		r.lease = 0
+	}
 	if r.lease != 0 {
 		err := r.Registry.KeepAlive(ctx, r.lease)
 		if errors.Is(err, dcstore.ErrLeaseExpired) {
@@ -393,7 +466,12 @@
 	record := r.Current()
 	state := record.GetState()
 	r.mu.Lock()
-	expected, recordMissing := r.revision, r.recordMissing
+	expected, recordMissing, era := r.position.Revision, r.recordMissing, r.era
+	if r.position.Era != era {
+		// The revision is of the history before the store was restored. Without the
+		// record in the copy this is right, otherwise the conflict tells the revision.
+		expected = 0
+	}
 	r.mu.Unlock()
 	if state == r.writtenState && !recordMissing {
 		return nil
@@ -416,7 +494,7 @@
 		// of an earlier process of this host still exists. The notification of
 		// either may come late.
 		r.mu.Lock()
-		r.revision, r.recordMissing = conflict.Current, false
+		r.position, r.recordMissing = dcstore.Position{Era: era, Revision: conflict.Current}, false
 		r.mu.Unlock()
 	}
 	if err != nil {
@@ -424,7 +502,8 @@
 		return err
 	}
 	r.mu.Lock()
-	r.revision, r.recordMissing, r.recordWritten = max(r.revision, revision), false, true
+	r.setPosition(dcstore.Position{Era: era, Revision: revision})
+	r.recordMissing, r.recordWritten = false, true
 	r.mu.Unlock()
 	r.writtenState = state
 	r.Log.Info("host record written", zap.String("state", state.String()), zap.Int64("revision", int64(revision)))
--- a/internal/dcroster/dcroster_test.go
+++ b/internal/dcroster/dcroster_test.go
@@ -231,3 +231,65 @@
 		t.Errorf("only hosts %v are first for one of 20 servers", first)
 	}
 }
+
+// TestRestoredStore guards against a host whose record stays lost after the store
+// was restored from an older copy, against shares that are divided among too few
+// hosts while the others write their records again, and against a host of the copy
+// that is gone but stays listed.
+func TestRestoredStore(t *testing.T) { synctest.Test(t, testRestoredStore) }
+
+func testRestoredStore(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	store := dcstore.NewFake(clock)
+	roster := newRoster(clock, store)
+	if err := roster.renew(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	listed := func(id string, era dcstore.Era) dcstore.Record {
+		record := newStoreRecord(t, newHostRecord(id, hostv1.State_STATE_SERVING))
+		record.Era = era
+		return record
+	}
+	before, err := store.Get(t.Context(), "hosts/h1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	before.Era = 1
+	roster.Put(before)
+	for _, id := range []string{"h2", "h3", "h4"} {
+		roster.Put(listed(id, 1))
+	}
+	roster.Synced()
+	// The copy still lists h9, which is gone, and lacks h4.
+	roster.Put(listed("h9", 2))
+	firstLease := roster.lease
+	restored := before
+	restored.Era = 2
+	roster.Put(restored)
+	roster.Restored(2)
+	if got := roster.Count(); got != 5 {
+		t.Errorf("%d hosts are counted at the restoration, want 5", got)
+	}
+	err = roster.renew(t.Context())
+	after, getErr := store.Get(t.Context(), "hosts/h1")
+	if err != nil || getErr != nil || after.Modified == before.Modified || roster.lease == firstLease {
+		t.Errorf("renewal %v, record %+v, %v, lease %d, want a new record with a new lease", err, after, getErr, roster.lease)
+	}
+	written := listed("h2", 2)
+	written.Modified += 10
+	roster.Put(written)
+	roster.RecordReceived(newHostRecord("h3", hostv1.State_STATE_SERVING))
+	roster.Put(listed("h4", 2))
+	time.Sleep(rewriteTime - time.Nanosecond)
+	if got := roster.Count(); got != 5 {
+		t.Errorf("%d hosts are counted before the others had time to write, want 5", got)
+	}
+	time.Sleep(time.Nanosecond)
+	synctest.Wait()
+	if got := roster.CallerAddresses(); !slices.Equal(got, []string{"h1:1", "h2:1", "h4:1"}) {
+		t.Errorf("addresses %v, want those of h1 and of the hosts that wrote their records again", got)
+	}
+	if got := roster.Sharers(); got != 5 {
+		t.Errorf("%d sharers, want 5: hosts that are cut off may still use their shares", got)
+	}
+}
