Write ledger entries again that the store has lost

What callers would see: an order that ran runs once more when it is sent again, after the store was restored from a copy that lacks its record.

Cause: a committer that read its segment again after a conflict took what the store held, also if entries were missing that it had read or had written with an acknowledgement. Entries are never removed from a segment and only advance, so what is missing there was lost.

Change: the committer adds what it knows of the segment to what it reads, and the next swap writes it again.

--- a/internal/dcledger/failure_test.go
+++ b/internal/dcledger/failure_test.go
@@ -134,6 +134,23 @@
 	}
 }
 
+// TestOrdersAfterRestoration guards against an order that runs again because its
+// acknowledged record was lost when the store was restored from an older copy.
+func TestOrdersAfterRestoration(t *testing.T) {
+	for seed := range uint64(seedCount) {
+		sim := newSimulation(seed, 4, faults{
+			restoredAt: 1500 * time.Millisecond, restoredBack: 700 * time.Millisecond,
+			sentToTwoHosts: 0.5, refused: 0.2, upstreamReplyLost: 0.3,
+		})
+		sim.workload(30)
+		for key, runs := range sim.runs {
+			if len(runs) > 1 {
+				t.Errorf("seed %d: key %s ran %d times", seed, key, len(runs))
+			}
+		}
+	}
+}
+
 // TestHostKilledAtEveryStep guards against a key that runs twice because its
 // entry host was killed at one of the steps of the order.
 func TestHostKilledAtEveryStep(t *testing.T) {
--- a/internal/dcledger/segment.go
+++ b/internal/dcledger/segment.go
@@ -25,6 +25,8 @@
 	// segment must be read.
 	value    *ledgerv1.Segment
 	modified dcstore.Revision
+	// known is the newest value that was committed or read, nil before that.
+	known *ledgerv1.Segment
 	pending  []*submission
 	call     *call
 	// lostCommit is the operation id of a swap whose reply was lost. lostBatch
@@ -257,11 +259,35 @@
 		}
 	}
 	c.breaker.reset()
-	seg.value = value
+	restoreEntries(value, seg.known)
+	seg.value, seg.known = value, value
 	seg.modified = reply.Record.Modified
 	c.resolveLostSwap(seg)
 }
 
+// restoreEntries adds to a segment what is known of it and missing there. A store
+// that was restored from an older copy has lost acknowledged entries; without them
+// an order would run again. Otherwise entries are never removed and only advance.
+func restoreEntries(segment, known *ledgerv1.Segment) {
+	for _, entry := range known.GetEntries() {
+		index := findEntry(segment, entry.GetDepartment(), entry.GetKey())
+		switch {
+		case index < 0:
+			segment.Entries = append(segment.Entries, proto.CloneOf(entry))
+		case advances(segment.GetEntries()[index], entry):
+			segment.Entries[index] = proto.CloneOf(entry)
+		}
+	}
+}
+
+// advances reports whether an entry is a later state of another one of its key.
+func advances(entry, later *ledgerv1.Entry) bool {
+	if entry.GetOperationId() != later.GetOperationId() {
+		return later.GetAttempt() > entry.GetAttempt()
+	}
+	return entry.GetState() != later.GetState() && validTransition(entry.GetState(), later.GetState())
+}
+
 // resolveLostSwap answers the batch of a swap whose reply was lost when the
 // segment lists its commit. Otherwise the batch is applied again. If the lost
 // swap is still in progress, it and the next swap conflict.
@@ -280,7 +306,7 @@
 	if reply.Err == nil {
 		c.breaker.reset()
 		c.lostReplies = 0
-		seg.value = done.newValue
+		seg.value, seg.known = done.newValue, done.newValue
 		seg.modified = reply.Modified
 		c.answerAll(done.batch)
 		return
--- a/internal/dcledger/simulation_test.go
+++ b/internal/dcledger/simulation_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -37,6 +38,9 @@
 	// Each host notices the change at a different time.
 	holderRotation        time.Duration
 	outageFrom, outageFor time.Duration
+	// restoredAt is the time at which the store returns to its state of restoredBack
+	// before, 0 for never.
+	restoredAt, restoredBack time.Duration
 	// dispatchUndecided and ignoreExpected select faulty variants, which the
 	// checks must reject.
 	dispatchUndecided, ignoreExpected bool
@@ -219,6 +223,12 @@
 // workload sends orders for each key to one or two hosts. After the random
 // faults and the outage have ended, it looks up each key.
 func (sim *simulation) workload(keys int) {
+	if sim.restoredAt > 0 {
+		sim.schedule(sim.restoredAt-sim.restoredBack, func() {
+			records, revision := maps.Clone(sim.records), sim.revision
+			sim.schedule(sim.restoredBack, func() { sim.records, sim.revision = records, revision })
+		})
+	}
 	for range keys {
 		issued := startTime.Add(time.Duration(sim.random.IntN(2000)) * time.Millisecond)
 		start := issued.Sub(startTime)
