--- a/internal/dcledger/segment.go
+++ b/internal/dcledger/segment.go
@@ -26,9 +26,9 @@
 	value    *ledgerv1.Segment
 	modified dcstore.Revision
 	// known is the newest value that was committed or read, nil before that.
-	known *ledgerv1.Segment
-	pending  []*submission
-	call     *call
+	known   *ledgerv1.Segment
+	pending []*submission
+	call    *call
 	// lostCommit is the operation id of a swap whose reply was lost. lostBatch
 	// holds the submissions of that swap, which are also in pending.
 	lostCommit string
