Do not quarantine requests that servers have answered lately

What callers would see: a path that many callers send is refused on all hosts for ten minutes, after servers have broken the connections of two attempts.

Cause: the quarantine knows a request by its method, host, target and body, and one request says nothing of others that are the same.

Change: the engine remembers, in 64 KiB, which requests servers have answered lately, and does not suspect those.

--- a/internal/dcengine/quarantine.go
+++ b/internal/dcengine/quarantine.go
@@ -2,8 +2,10 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	peerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/peer/v1"
@@ -20,6 +22,8 @@
 	// maxCrashes is the number of servers that may crash under one request before
 	// its hedges and retries wait for the first answer.
 	maxCrashes = 3
+	// answeredSlots is the number of requests that are remembered as answered.
+	answeredSlots = 8192
 	// maxSharedBytes is the maximum size of the suspicions that are sent to another
 	// host at once.
 	maxSharedBytes = 256 << 10
@@ -29,6 +33,34 @@
 type quarantine struct {
 	mu    sync.Mutex
 	table dcquarantine.Table
+	// answered remembers requests that servers have answered, by their hash. A new
+	// one replaces another one of the same slot. Without it, servers that break
+	// their connections would put requests into quarantine that many callers send.
+	answered [answeredSlots]atomic.Uint64
+}
+
+// recordAnswer remembers that a server has answered a request.
+func (q *quarantine) recordAnswer(request *dcforward.Request) {
+	hash := requestHash(request)
+	q.answered[hash%answeredSlots].Store(hash)
+}
+
+// wasAnswered reports whether a server has answered such a request lately.
+func (q *quarantine) wasAnswered(request *dcforward.Request) bool {
+	hash := requestHash(request)
+	return q.answered[hash%answeredSlots].Load() == hash
+}
+
+// requestHash is a faster and shorter requestDigest.
+func requestHash(request *dcforward.Request) uint64 {
+	var hash xxhash.Digest
+	hash.Reset()
+	for _, part := range []string{request.Method, request.Host, request.Target} {
+		_, _ = hash.WriteString(part)
+		_, _ = hash.WriteString("\x00")
+	}
+	_, _ = hash.Write(request.Body)
+	return hash.Sum64()
 }
 
 // rule applies to all services: only suspected requests go to one server first.
@@ -70,6 +102,11 @@
 	}
 	r.digest = requestDigest(r.request)
 	decision := q.table.Decide(r.digest, rule, now)
+	if decision.Action == dcquarantine.Canary && q.wasAnswered(r.request) {
+		// Suspected by another host only.
+		q.table.AbandonCanary(r.digest)
+		return Reply{}, false
+	}
 	switch decision.Action {
 	case dcquarantine.Refuse:
 		refusal = refusalReply(decision.Code)
@@ -119,6 +156,9 @@
 	crashed := outcome == dcbalance.Lost && ended.answer.Code == dcreason.UpstreamCrashed
 	switch {
 	case answered:
+		if !r.answered {
+			r.engine.quarantine.recordAnswer(r.request)
+		}
 		r.answered = true
 		sends = r.plan.Release(now)
 	case crashed:
@@ -172,7 +212,7 @@
 		q.table.AbandonCanary(r.digest)
 		r.canary = false
 	}
-	if len(r.crashed) > 0 && !r.answered {
+	if len(r.crashed) > 0 && !r.answered && !q.wasAnswered(r.request) {
 		if r.digest == "" {
 			r.digest = requestDigest(r.request)
 		}
--- a/internal/dcengine/quarantine_test.go
+++ b/internal/dcengine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -207,3 +208,31 @@
 		})
 	}
 }
+
+// TestLostAnswersOfCommonRequest guards against a quarantine of a request that many
+// callers send, because servers break half of their connections.
+func TestLostAnswersOfCommonRequest(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x"} {
+		synctest.Test(t, func(t *testing.T) {
+			const requests = 400
+			random := rand.New(rand.NewPCG(5, 0))
+			sender := &fakeSender{answer: func(_ context.Context, server dcid.ServerID, _ int) dcforward.Answer {
+				if random.IntN(2) == 0 {
+					return dcforward.Answer{Outcome: dcbalance.Lost, Code: dcreason.UpstreamCrashed}
+				}
+				return answeredBy(server)
+			}}
+			engine := newTestEngine(t, sender)
+			refused := 0
+			for range requests {
+				if reply := engine.Handle(t.Context(), newTestRequest(engine, path)); reply.Status == http.StatusServiceUnavailable {
+					refused++
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			if refused > requests/100 {
+				t.Errorf("%s: %d of %d requests refused, want at most those before the first answer", path, refused, requests)
+			}
+		})
+	}
+}
