Reword comments on full servers, and keep changed suspicions when many wait

Comments of dcbalance, dcattempt, dcengine and dcroster are wrapped and say what the code does; the rule of the quarantine has a name of its own.

--- a/internal/dcattempt/dcattempt.go
+++ b/internal/dcattempt/dcattempt.go
@@ -188,6 +188,8 @@
 	return sends
 }
 
+// abortIfIdle aborts a request on hold if no send is in flight, because no answer
+// can end the hold then.
 func (p *Plan) abortIfIdle() {
 	for i := range p.parts {
 		if len(p.parts[i].inFlight) > 0 {
--- a/internal/dcbalance/dcbalance.go
+++ b/internal/dcbalance/dcbalance.go
@@ -195,9 +195,10 @@
 
 // Pick starts a call to the best server that is not excluded. Servers that are
 // backing off are selected only if no other is left, and servers that want no
-// requests for a time are not selected within it. A server that names a rate limit is selected only within this host's share of it; extra is set for hedges
-// and retries, which leave the last request of a share to first sends. Pick
-// returns false if no server is available.
+// requests for a time are not selected within it. A server that names a rate limit
+// is selected only within this host's share of it, and one that is full only within
+// its window. extra is set for hedges and retries, which leave the last request of a
+// share to first sends. Pick returns false if no server is available.
 func (g *Group) Pick(exclude []dcid.ServerID, extra bool, now time.Time) (call *Call, ok bool) {
 	var best *serverState
 	var bestRank rank
--- a/internal/dcbalance/room.go
+++ b/internal/dcbalance/room.go
@@ -18,8 +18,8 @@
 	RateLimits
 	// Holds means that all servers want no requests for a time.
 	Holds
-	// Windows means that the servers have refused requests for lack of room, and
-	// this host's share of what they can run is in use.
+	// Windows means that the servers have refused requests, or answered them late,
+	// for lack of room, and this host's share of what they can run is in use.
 	Windows
 )
 
--- a/internal/dcbalance/window.go
+++ b/internal/dcbalance/window.go
@@ -16,7 +16,8 @@
 )
 
 // window limits the calls of this host that are in flight to a server while the
-// server refuses calls, or answers them late, for lack of room. The zero value does not limit them.
+// server refuses calls, or answers them late, for lack of room. The zero value does
+// not limit them.
 type window struct {
 	limit     int
 	changedAt time.Time
--- a/internal/dcengine/admission.go
+++ b/internal/dcengine/admission.go
@@ -35,8 +35,8 @@
 
 // admit decides whether a request may run, before anything is sent. It refuses
 // requests for which too few services have a server, those for which the servers
-// have no room because of rate limits or want no requests, and those that servers would refuse because
-// of overload. Parts without room that the request can do without are left out.
+// have no room or want no requests, and those that servers would refuse because of
+// overload. Parts without room that the request can do without are left out.
 func (r *run) admit(now time.Time) (refusal Reply, ok bool) {
 	minParts := r.plan.MinParts
 	rooms := r.rooms(now)
--- a/internal/dcengine/quarantine.go
+++ b/internal/dcengine/quarantine.go
@@ -63,8 +63,9 @@
 	return hash.Sum64()
 }
 
-// rule applies to all services: only suspected requests go to one server first.
-var rule = dcquarantine.Rule{}
+// quarantineRule applies to all services: only suspected requests go to one server
+// first.
+var quarantineRule = dcquarantine.Rule{}
 
 // MergeSuspicions takes what other hosts know of requests that crash servers.
 func (e *Engine) MergeSuspicions(suspicions []*peerv1.Suspicion) {
@@ -101,7 +102,7 @@
 		return Reply{}, false
 	}
 	r.digest = requestDigest(r.request)
-	decision := q.table.Decide(r.digest, rule, now)
+	decision := q.table.Decide(r.digest, quarantineRule, now)
 	if decision.Action == dcquarantine.Canary && q.wasAnswered(r.request) {
 		// Suspected by another host only.
 		q.table.AbandonCanary(r.digest)
@@ -187,7 +188,7 @@
 	}
 	q := &r.engine.quarantine
 	q.mu.Lock()
-	changed := q.table.FinishCanary(r.digest, result, rule, now)
+	changed := q.table.FinishCanary(r.digest, result, quarantineRule, now)
 	q.mu.Unlock()
 	r.canary = false
 	r.report(changed)
@@ -217,7 +218,7 @@
 			r.digest = requestDigest(r.request)
 		}
 		for _, server := range r.crashed {
-			changed = q.table.RecordCrash(r.digest, dcid.ServerAddr(server), rule, now)
+			changed = q.table.RecordCrash(r.digest, dcid.ServerAddr(server), quarantineRule, now)
 		}
 	}
 	q.mu.Unlock()
--- a/internal/dcrelay/suspicions.go
+++ b/internal/dcrelay/suspicions.go
@@ -57,7 +57,7 @@
 		s.pending = make(map[string]*peerv1.Suspicion)
 	}
 	for _, suspicion := range suspicions {
-		if len(s.pending) < maxPendingSuspicions {
+		if _, ok := s.pending[suspicion.GetDigest()]; ok || len(s.pending) < maxPendingSuspicions {
 			s.pending[suspicion.GetDigest()] = suspicion
 		}
 	}
--- a/internal/dcroster/dcroster.go
+++ b/internal/dcroster/dcroster.go
@@ -359,9 +359,9 @@
 // Sharers returns the number of hosts among which a quantity is divided that all
 // hosts together must not exceed in a span of time. It includes hosts that are
 // gone, for confirmationTime: one whose lease has expired may still use its share,
-// and one that left has used its share in the span that ends. It returns 0 while this host may not use a share: before the
-// list has been read, and after the store has not confirmed its lease for
-// confirmationTime.
+// and one that left has used its share in the span that ends. It returns 0 while
+// this host may not use a share: before the list has been read, and after the store
+// has not confirmed its lease for confirmationTime.
 func (r *Roster) Sharers() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
