--- a/review/kit/cases.go
+++ b/review/kit/cases.go
@@ -17,8 +17,8 @@
 func twice(w *World) (int, error) {
 	const (
 		length = 90 * time.Second
-		// The largest doses of the pages for such answers (garble, extra late): 0.04
-		// of the answers, for 5 s.
+		// The largest doses of the pages for such answers (garble, extra late): 0.5 of
+		// the servers, 0.04 of the answers, for 5 s.
 		episode = 5 * time.Second
 		pause   = 2 * time.Second
 		share   = 0.04
@@ -35,14 +35,12 @@
 	var services []string
 	for i := range twiceServices {
 		name := fmt.Sprintf("mill-orders-%d", i+1)
-		for j := range twiceServers {
-			server := &Server{World: w, ID: fmt.Sprintf("i-mill-%d-%d", i+1, j+1), Service: name, Zone: zones[j], Slots: 2, Queue: 2, Work: 100 * time.Millisecond}
-			if j == 0 {
-				server.Broken = copyAnswer
-			}
-			if err := server.Start(); err != nil {
-				return cannot, err
-			}
+		server := &Server{World: w, ID: fmt.Sprintf("i-mill-%d", i+1), Service: name, Zone: zones[i%3], Slots: 2, Queue: 2, Work: 100 * time.Millisecond}
+		if i%2 == 0 {
+			server.Broken = copyAnswer
+		}
+		if err := server.Start(); err != nil {
+			return cannot, err
 		}
 		services = append(services, name)
 		routes = append(routes, route("orders-"+name, "/"+name+"/", "unsafe", name, 4000, 800))
@@ -55,7 +53,7 @@
 	callers := w.callers(30)
 	var mu sync.Mutex
 	results := map[string]Result{}
-	every(twiceServices*twiceServers*30, time.Now().Add(length), func() {
+	every(twiceServices*twiceRate, time.Now().Add(length), func() {
 		caller := callers[rand.IntN(len(callers))]
 		target := fmt.Sprintf("/mill-orders-%d/new", 1+rand.IntN(twiceServices))
 		result := caller.Do("", http.MethodPost, "a.example", target, "flour 20 kg", 4*time.Second)
@@ -99,11 +97,12 @@
 	return held
 }
 
-// twiceServices is the number of services, and twiceServers that of the servers of
-// each.
 const (
-	twiceServices = 8
-	twiceServers  = 2
+	// twiceServices is the number of services, with a server each.
+	twiceServices = 30
+	// twiceRate is the number of orders a second for each service. Its server can run
+	// 20 a second.
+	twiceRate = 18
 )
 
 // stop: hosts are stopped and started in turn while callers send requests that
