Refuse requests that a stopping host may not answer

Cause: the stop took requests until 0.55 of the grace period and cut those still running at 0.95 without comparing the time left with the time that a request takes.

Change: dcdrain.Window decides from the time left, the time limit of the request and the longest latency of its route lately. What does not fit is refused at once as not run. At the end of the stop time the requests that still run are answered (502, or 503 if they did not run) in place of a closed connection.

--- a/internal/dcbudget/histogram.go
+++ b/internal/dcbudget/histogram.go
@@ -62,11 +62,18 @@
 // NewLatencyHistogram. It returns false if fewer than minSamples latencies are
 // recorded. The value may be up to quantileCacheTime old.
 func (l *LatencyHistogram) Quantile(index int, now time.Time) (time.Duration, bool) {
-	l.refresh(now)
-	if l.samples < minSamples {
+	value, samples := l.Value(index, now)
+	if samples < minSamples {
 		return 0, false
 	}
-	return l.quantileValues[index], true
+	return value, true
+}
+
+// Value returns a quantile like Quantile, whatever the number of latencies, and
+// that number.
+func (l *LatencyHistogram) Value(index int, now time.Time) (value time.Duration, samples int64) {
+	l.refresh(now)
+	return l.quantileValues[index], l.samples
 }
 
 // refresh computes the quantiles again if they are older than
--- a/internal/dcengine/dcengine.go
+++ b/internal/dcengine/dcengine.go
@@ -87,6 +87,7 @@
 	routes   routes
 	// quarantine holds the requests that crash servers.
 	quarantine quarantine
+	stop       stop
 }
 
 // services holds the state of each service, created on first use.
--- a/internal/dcengine/routes.go
+++ b/internal/dcengine/routes.go
@@ -16,6 +16,11 @@
 	hedgeQuantile = 0.9
 	// medianQuantile gives the typical latency that servers are compared with.
 	medianQuantile = 0.5
+	// maxQuantile gives the longest latency.
+	maxQuantile = 1.0
+	// minLongestSamples is the number of latencies of which the longest shows how
+	// long requests of a route take.
+	minLongestSamples = 20
 	// initialHedgeDivisor divides the latency target to give the hedge delay
 	// while too few latencies are known.
 	initialHedgeDivisor = 4
@@ -89,7 +94,7 @@
 	}
 	if r.shortTerm == nil {
 		r.shortTerm = dcbudget.NewLatencyHistogram(shortWindow, medianQuantile, hedgeQuantile)
-		r.longTerm = dcbudget.NewLatencyHistogram(longWindow, medianQuantile, hedgeQuantile)
+		r.longTerm = dcbudget.NewLatencyHistogram(longWindow, medianQuantile, hedgeQuantile, maxQuantile)
 	}
 	r.shortTerm.Record(latency, now)
 	r.longTerm.Record(latency, now)
@@ -99,6 +104,8 @@
 const (
 	medianIndex = iota
 	hedgeIndex
+	// longestIndex is one of the long window only.
+	longestIndex
 )
 
 // quantile returns a quantile of the latencies by its index, or false while too
@@ -121,6 +128,21 @@
 	return latency
 }
 
+// longestLatency returns the longest latency of the servers within longWindow, 0
+// while too few are known.
+func (r *routeState) longestLatency(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.longTerm == nil {
+		return 0
+	}
+	longest, samples := r.longTerm.Value(longestIndex, now)
+	if samples < minLongestSamples {
+		return 0
+	}
+	return longest
+}
+
 // hedgeDelay returns how long to wait for an answer before a hedge is sent.
 func (r *routeState) hedgeDelay(target time.Duration, now time.Time) time.Duration {
 	if delay, ok := r.quantile(hedgeIndex, now); ok {
--- a/internal/dcengine/run.go
+++ b/internal/dcengine/run.go
@@ -88,6 +88,11 @@
 		case <-timer.Chan():
 			now = clock.Now()
 			r.startSends(sendCtx, r.plan.Tick(now))
+		case <-r.engine.stop.endedChannel():
+			if r.route.Idempotent {
+				cancel()
+			}
+			return r.stopReply(clock.Now())
 		case <-ctx.Done():
 			if r.route.Idempotent {
 				cancel()
