Never send a request twice on one connection

Cause: a server refused an order, and the order was sent again on the same connection. The server wrote a late copy of its refusal and ran the order. Both sends have one ID, so the copy was taken for the answer to the second send, and a refusal proves that a send did not run.

Change: a request keeps the connections on which it was sent. One of them is closed when the request is assigned to it again, before anything is written, and another connection is taken. An answer to an earlier send can then not be read in place of that to a later one.

--- a/internal/dcconnpool/pool.go
+++ b/internal/dcconnpool/pool.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -99,17 +100,42 @@
 // RoundTrip sends a request. The caller must have called Acquire. net/http
 // retries a request on a new connection if a reused connection is closed before
 // a response arrives; RoundTrip prevents that retry once any part of the request
-// was written. The Exchange is never nil.
-func (p *Pool) RoundTrip(addr dcid.ServerAddr, request *http.Request) (*http.Response, *Exchange, error) {
+// was written. The request is not sent on a connection of used, which RoundTrip
+// closes instead; used may be nil. The Exchange is never nil.
+func (p *Pool) RoundTrip(addr dcid.ServerAddr, request *http.Request, used *Connections) (*http.Response, *Exchange, error) {
 	target := p.server(addr)
 	ctx, cancel := context.WithCancelCause(request.Context())
-	exchange := &Exchange{server: target, cancel: cancel, clock: p.Clock, startedAt: p.Clock.Now()}
+	exchange := &Exchange{server: target, cancel: cancel, used: used, clock: p.Clock, startedAt: p.Clock.Now()}
 	request = request.WithContext(exchange.trace(ctx))
 	request.Close = target.overLimit()
 	response, err := p.roundTripper().RoundTrip(request)
 	return response, exchange, err
 }
 
+// Connections is the set of connections on which a request was sent. Two sends of a
+// request have the same ID, so that on one connection a late copy of the answer to
+// the first is not told from the answer to the second. The zero value is empty. It
+// is safe for concurrent use.
+type Connections struct {
+	mu    sync.Mutex
+	conns []*connection
+}
+
+// add adds a connection, or returns false if the set has it already. A nil set has
+// no connections.
+func (c *Connections) add(conn *connection) bool {
+	if c == nil {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slices.Contains(c.conns, conn) {
+		return false
+	}
+	c.conns = append(c.conns, conn)
+	return true
+}
+
 // errAlreadySent cancels a request that net/http would otherwise send a second
 // time.
 var errAlreadySent = errors.New("the request was sent before")
@@ -122,7 +148,11 @@
 	// conn is the connection that the request was assigned to; nil before that.
 	conn atomic.Pointer[connection]
 	// writesBefore is the number of writes of conn before this request.
-	writesBefore    atomic.Int64
+	writesBefore atomic.Int64
+	// used holds the connections that the request must not be assigned to, and
+	// usedBefore is set if it was assigned to one.
+	used            *Connections
+	usedBefore      atomic.Bool
 	dialled         atomic.Bool
 	responseStarted atomic.Bool
 	clock           clockwork.Clock
@@ -134,6 +164,11 @@
 // Waited returns how long the request waited for a connection, 0 if it got none.
 func (e *Exchange) Waited() time.Duration { return time.Duration(e.waited.Load()) }
 
+// UsedBefore reports whether the request was assigned to a connection on which it
+// had been sent before. That connection is closed, and a request for which Written
+// is false may be sent again.
+func (e *Exchange) UsedBefore() bool { return e.usedBefore.Load() }
+
 // Dialled reports whether the request was sent on a new connection.
 func (e *Exchange) Dialled() bool { return e.dialled.Load() }
 
@@ -166,6 +201,11 @@
 				_ = info.Conn.Close()
 				return
 			}
+			if !e.used.add(conn) {
+				e.usedBefore.Store(true)
+				_ = conn.Close()
+				return
+			}
 			e.writesBefore.Store(conn.writes.Load())
 			e.waited.Store(int64(e.clock.Since(e.startedAt)))
 			e.conn.Store(conn)
--- a/internal/dcforward/dcforward.go
+++ b/internal/dcforward/dcforward.go
@@ -38,6 +38,9 @@
 	Arrived time.Time
 	// Deadline is the time until which the caller waits for the answer.
 	Deadline time.Time
+
+	// connections holds those on which the request was sent.
+	connections dcconnpool.Connections
 }
 
 // Answer is the result of sending a request to one server. Header, Body and Proof
@@ -117,7 +120,7 @@
 	defer release()
 	header := request.Header.Clone()
 	c.Codec.Encode(header, request, server, left)
-	response, exchange, err := c.Pool.RoundTrip(server.Addr, newRequest(ctx, server, request, header))
+	response, exchange, err := c.roundTrip(ctx, server, request, header)
 	defer func() { answer.Waited = exchange.Waited() }()
 	if err != nil {
 		return classify(ctx, exchange, err)
@@ -126,6 +129,16 @@
 	return c.readResponse(ctx, response, exchange, request)
 }
 
+// roundTrip sends the request on a connection on which it was not sent before.
+func (c *Client) roundTrip(ctx context.Context, server dcbalance.Server, request *Request, header http.Header) (*http.Response, *dcconnpool.Exchange, error) {
+	for {
+		response, exchange, err := c.Pool.RoundTrip(server.Addr, newRequest(ctx, server, request, header), &request.connections)
+		if err == nil || !exchange.UsedBefore() || exchange.Written() || ctx.Err() != nil {
+			return response, exchange, err
+		}
+	}
+}
+
 func newRequest(ctx context.Context, server dcbalance.Server, request *Request, header http.Header) *http.Request {
 	outgoing := &http.Request{
 		Method:     request.Method,
--- a/internal/dcforward/dcforward_test.go
+++ b/internal/dcforward/dcforward_test.go
@@ -216,6 +216,44 @@
 	}
 }
 
+// TestLateCopyOfRefusal guards against taking the late copy of a refusal for the
+// answer to the next send of the same request, which has the same ID: the request
+// would be sent once more, or called not run, although it has run.
+func TestLateCopyOfRefusal(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Full\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		var ran atomic.Int32
+		var refused atomic.Bool
+		server := listen(t, func(conn net.Conn) {
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			for late := ""; ; {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(conn, late)
+				if refused.CompareAndSwap(false, true) {
+					late = refusal
+					_, _ = io.WriteString(conn, refusal)
+					continue
+				}
+				ran.Add(1)
+				_, _ = io.WriteString(conn, validResponse)
+			}
+		})
+		client, request := newClient(t), newRequestFor(method, "/a", "body")
+		if first := send(t, client, server, request); first.Outcome != dcbalance.Refused {
+			t.Fatalf("%s: first outcome %d (%v), want refused", method, first.Outcome, first.Err)
+		}
+		second := send(t, client, server, request)
+		if second.Outcome != dcbalance.Answered || ran.Load() != 1 {
+			t.Errorf("%s: second outcome %d (%s, %v), want answered; the server ran it %d times", method, second.Outcome, second.Code, second.Err, ran.Load())
+		}
+	}
+}
+
 // TestUnreachable guards against classifying a request as run although no
 // connection was opened.
 func TestUnreachable(t *testing.T) {
--- a/internal/dcupstream/client.go
+++ b/internal/dcupstream/client.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	httpResponse, _, err := c.RoundTrip(addr, request)
+	httpResponse, _, err := c.RoundTrip(addr, request, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -155,7 +155,7 @@
 		response.Outcome, response.Code = dcreason.NotRun, dcreason.Internal
 		return response
 	}
-	httpResponse, exchange, err := c.RoundTrip(call.server, request)
+	httpResponse, exchange, err := c.RoundTrip(call.server, request, nil)
 	response.NewConnection = exchange.Dialled()
 	if err != nil {
 		response.Outcome, response.Code = classifyError(ctx, exchange, err)
