Do not take a refusal of another request as proof in dcupstream

What callers could see: an order that runs once at most runs twice at a host of the product's own edge, if a server's refusal of another request, or of an earlier attempt, arrives late.

Cause: dcupstream compared the labels of a response (request and attempt) only for status 200. A refusal counted as proof whatever it named.

Change: a response that names another request or attempt proves nothing, whatever its status, and its connection is closed.

Evidence: the two new cases of TestSearchClassification failed on ("got not-run upstream-shed, want unknown upstream-malformed").

--- a/internal/dcupstream/client.go
+++ b/internal/dcupstream/client.go
@@ -134,6 +134,8 @@
 
 // send transmits a call at most once and classifies its outcome. labelsMatch
 // checks the labels of a response with status 200, and may set Response.Label.
+// A response of any other status that names another request or attempt proves
+// nothing.
 func (c *Client) send(ctx context.Context, call call, labelsMatch func(*http.Response, *Response) bool) (response Response) {
 	response.QueueTime = -1
 	release, err := c.Acquire(ctx, call.server)
@@ -162,11 +164,26 @@
 		return response
 	}
 	defer httpResponse.Body.Close()
-	c.readResponse(ctx, httpResponse, exchange, &response, labelsMatch)
+	c.readResponse(ctx, httpResponse, exchange, &response, func(httpResponse *http.Response, response *Response) bool {
+		return call.isAnsweredBy(httpResponse) && (httpResponse.StatusCode != http.StatusOK || labelsMatch(httpResponse, response))
+	})
 	return response
 }
 
-// readResponse reads and classifies the response to a call.
+// isAnsweredBy reports whether a response may belong to the call: it names no other
+// request, and no other attempt of the same one. The late copy of a refusal does not
+// prove that a later request did not run.
+func (c *call) isAnsweredBy(httpResponse *http.Response) bool {
+	for _, name := range []string{HeaderRequestID, HeaderAttempt} {
+		if sent := c.header.Get(name); sent != "" && !absentOrEqual(httpResponse.Header.Get(name), sent) {
+			return false
+		}
+	}
+	return true
+}
+
+// readResponse reads and classifies the response to a call. labelsMatch reports
+// whether the response belongs to the call.
 func (c *Client) readResponse(ctx context.Context, httpResponse *http.Response, exchange *dcconnpool.Exchange, response *Response, labelsMatch func(*http.Response, *Response) bool) {
 	response.QueueTime = queueTime(httpResponse.Header)
 	limit := c.maxBodyBytes()
@@ -174,9 +191,12 @@
 	switch {
 	case err != nil:
 		response.Outcome, response.Code = classifyError(ctx, exchange, err)
+	case !labelsMatch(httpResponse, response):
+		exchange.Discard()
+		response.Outcome, response.Code = dcreason.Unknown, dcreason.UpstreamMalformed
 	case httpResponse.StatusCode != http.StatusOK:
 		response.Outcome, response.Code = classifyStatus(httpResponse)
-	case int64(len(body)) > limit || !labelsMatch(httpResponse, response):
+	case int64(len(body)) > limit:
 		response.Outcome, response.Code = dcreason.Unknown, dcreason.UpstreamMalformed
 	default:
 		response.Outcome, response.Code, response.Body = dcreason.Ran, dcreason.OK, body
--- a/internal/dcupstream/client_test.go
+++ b/internal/dcupstream/client_test.go
@@ -63,8 +63,9 @@
 }
 
 // TestSearchClassification guards against a wrong outcome: a request that
-// crashed a server would be sent again if it were reported as not-run, and a
-// response with a wrong label would be merged if it were reported as ran.
+// crashed a server, or one that gets the late copy of a refusal, would be sent again
+// if it were reported as not-run, and a response with a wrong label would be merged
+// if it were reported as ran.
 func TestSearchClassification(t *testing.T) {
 	const truncated = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab"
 	cases := []struct {
@@ -88,6 +89,16 @@
 			w.Header().Set(HeaderServerState, "draining")
 			w.WriteHeader(503)
 		}, dcreason.NotRun, dcreason.UpstreamDraining, ""},
+		{"refusal of another request", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(HeaderRequestID, "r2")
+			w.Header().Set(HeaderNotStarted, "true")
+			w.WriteHeader(503)
+		}, dcreason.Unknown, dcreason.UpstreamMalformed, ""},
+		{"refusal of an earlier attempt", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(HeaderAttempt, "1")
+			w.Header().Set(HeaderNotStarted, "true")
+			w.WriteHeader(503)
+		}, dcreason.Unknown, dcreason.UpstreamMalformed, ""},
 		{"503 without proof", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(503) }, dcreason.Unknown, dcreason.UpstreamError, ""},
 		{"conflict", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(409) }, dcreason.Unknown, dcreason.VersionGone, ""},
 		{"gone", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(410) }, dcreason.Unknown, dcreason.ShardGone, ""},
