Answer requests on all connections while a host stops

What callers saw: around a SIGTERM, requests were passed on and their connections ended without an answer (LOST, reported from real processes).

Cause: when the listener of a stopping host closes, net/http leaves those connections open that have not carried a request, and takes requests on them until the process ends; these were cut off like all others. It also closes kept connections while the head of a request is arriving, since it counts them as idle until the head is whole.

The listener keeps connections without a request open during the stop and answers their next request; it closes them when no request is left, and not while bytes of one have arrived, read or not.

--- a/internal/dclistener/dclistener.go
+++ b/internal/dclistener/dclistener.go
@@ -1,7 +1,8 @@
 // Package dclistener runs an HTTP/1.1 server that can stop under load without
 // cutting off a request. http.Server.Shutdown closes a connection without an
 // answer when it reads a request after the shutdown has begun, which hits the
-// requests of connections that were just accepted.
+// requests of connections that were just accepted. It also closes connections that
+// it takes for idle because the head of their request has not arrived whole.
 package dclistener
 
 import (
@@ -41,10 +42,14 @@
 	acceptEnded     chan struct{}
 	acceptEndedOnce sync.Once
 
-	mu sync.Mutex
-	// busy holds the connections with a request in progress, and those without a
-	// first request together with the time at which they were accepted.
-	busy map[net.Conn]time.Time
+	mu    sync.Mutex
+	conns map[*Conn]*connState
+}
+
+// connState is the state of an open connection.
+type connState struct {
+	http.ConnState
+	acceptedAt time.Time
 }
 
 // Serve accepts connections until Drain or Close is called, and then returns
@@ -57,8 +62,15 @@
 			next(conn, state)
 		}
 	}
+	handler := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
 	defer close(s.acceptEnd())
-	return s.Server.Serve(acceptor{TCPListener: s.Listener, draining: &s.draining})
+	return s.Server.Serve(acceptor{TCPListener: s.Listener, draining: &s.draining, clock: s.Clock})
 }
 
 func (s *Server) acceptEnd() chan struct{} {
@@ -67,15 +79,16 @@
 }
 
 // Drain stops to accept connections, answers the requests of those that were
-// accepted, each with a request to close the connection, and returns when all
-// are answered. It fails with the error of ctx if that ends first.
+// accepted, each with a request to close the connection, and returns when all are
+// answered and the connections are closed. Connections without a request stay open
+// until then, so that a request that arrives meanwhile is answered. Drain fails
+// with the error of ctx if that ends first, and may be called again then.
 func (s *Server) Drain(ctx context.Context) error {
 	s.draining.Store(true)
 	// The deadline is one of the system, not of the clock of the server.
 	if err := s.Listener.SetDeadline(time.Now().Add(acceptTime)); err != nil && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
-	s.SetKeepAlivesEnabled(false)
 	// Until then a connection may be accepted that is not tracked yet.
 	select {
 	case <-ctx.Done():
@@ -84,7 +97,7 @@
 	}
 	ticker := s.Clock.NewTicker(pollInterval)
 	defer ticker.Stop()
-	for s.hasRequests() {
+	for s.hasRequests() || !s.closeIdle() {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -95,46 +108,69 @@
 }
 
 // track records the state of a connection.
-func (s *Server) track(conn net.Conn, state http.ConnState) {
+func (s *Server) track(accepted net.Conn, state http.ConnState) {
+	conn, ok := accepted.(*Conn)
+	if !ok {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		if s.busy == nil {
-			s.busy = make(map[net.Conn]time.Time)
+		if s.conns == nil {
+			s.conns = make(map[*Conn]*connState)
 		}
-		s.busy[conn] = s.Clock.Now()
-	case http.StateActive:
-		s.busy[conn] = time.Time{}
+		s.conns[conn] = &connState{state, s.Clock.Now()}
+	case http.StateActive, http.StateIdle:
+		s.conns[conn].ConnState = state
 	default:
-		delete(s.busy, conn)
+		delete(s.conns, conn)
 	}
 }
 
-// hasRequests reports whether a request is in progress or may still arrive on a
-// connection that was accepted lately.
+// hasRequests reports whether a request is in progress or arriving, or may still
+// arrive on a connection that was accepted lately.
 func (s *Server) hasRequests() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, accepted := range s.busy {
-		if accepted.IsZero() || s.Clock.Since(accepted) < newConnectionTime {
+	for conn, state := range s.conns {
+		switch {
+		case state.ConnState == http.StateActive, conn.Arriving():
+			return true
+		case state.ConnState == http.StateNew && s.Clock.Since(state.acceptedAt) < newConnectionTime:
 			return true
 		}
 	}
 	return false
 }
 
+// closeIdle closes the connections without a request, and reports whether all
+// connections are closed.
+func (s *Server) closeIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	closed := true
+	for conn, state := range s.conns {
+		closed = state.ConnState != http.StateActive && conn.CloseIdle() && closed
+	}
+	return closed
+}
+
 // acceptor accepts connections until the deadline that Drain sets.
 type acceptor struct {
 	*net.TCPListener
 	draining *atomic.Bool
+	clock    clockwork.Clock
 }
 
 // Accept implements net.Listener.
 func (a acceptor) Accept() (net.Conn, error) {
-	conn, err := a.TCPListener.Accept()
-	if err != nil && a.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, http.ErrServerClosed
+	conn, err := a.AcceptTCP()
+	if err != nil {
+		if a.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, http.ErrServerClosed
+		}
+		return nil, err
 	}
-	return conn, err
+	return &Conn{TCPConn: conn, clock: a.clock}, nil
 }
--- a/internal/dclistener/dclistener_test.go
+++ b/internal/dclistener/dclistener_test.go
@@ -1,6 +1,7 @@
 package dclistener
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -131,3 +132,168 @@
 		t.Errorf("status %d of the running request", got)
 	}
 }
+
+// TestDrainPartialHead guards against a stop that closes a connection on which a
+// request has begun to arrive: the connection counts as idle for net/http until
+// the whole head has been read, and the request ends without an answer.
+func TestDrainPartialHead(t *testing.T) {
+	const head, rest = "GET / HTTP/1.1\r\nHost: a", "\r\n\r\n"
+	for name, kept := range map[string]bool{"new connection": false, "kept connection": true} {
+		t.Run(name, func(t *testing.T) {
+			server, _ := newServer(t, func(http.ResponseWriter, *http.Request) {})
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			if kept {
+				exchange(t, conn, reader, head+rest)
+			}
+			if _, err := io.WriteString(conn, head); err != nil {
+				t.Fatal(err)
+			}
+			drained := make(chan error, 1)
+			go func() { drained <- server.Drain(t.Context()) }()
+			// The listener closes after Drain has begun.
+			for {
+				other, err := net.Dial("tcp", server.Listener.Addr().String())
+				if err != nil {
+					break
+				}
+				other.Close()
+			}
+			if response := exchange(t, conn, reader, rest); !response.Close {
+				t.Error("the answer does not close the connection")
+			}
+			if err := <-drained; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// TestDrainKeptConnection guards against a stop that closes a kept connection while
+// another request still runs: a request that arrives on it must be answered.
+func TestDrainKeptConnection(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	server, _ := newServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			close(started)
+			<-release
+		}
+	})
+	var conns []net.Conn
+	var readers []*bufio.Reader
+	for range 2 {
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conns, readers = append(conns, conn), append(readers, bufio.NewReader(conn))
+	}
+	exchange(t, conns[0], readers[0], "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	if _, err := io.WriteString(conns[1], "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-started
+	drained := make(chan error, 1)
+	go func() { drained <- server.Drain(t.Context()) }()
+	for {
+		other, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			break
+		}
+		other.Close()
+	}
+	if response := exchange(t, conns[0], readers[0], "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); !response.Close {
+		t.Error("the answer during the stop does not close the connection")
+	}
+	close(release)
+	if response := exchange(t, conns[1], readers[1], ""); response.StatusCode != http.StatusOK {
+		t.Errorf("status %d of the running request", response.StatusCode)
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
+
+// exchange writes text to a connection and returns the response that follows.
+func exchange(t *testing.T, conn net.Conn, reader *bufio.Reader, text string) *http.Response {
+	t.Helper()
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response
+}
+
+// connPair returns a Conn and its peer.
+func connPair(t *testing.T) (conn *Conn, peer net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	peer, err = net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn = &Conn{TCPConn: accepted.(*net.TCPConn), clock: clockwork.NewRealClock()}
+	t.Cleanup(func() {
+		conn.Close()
+		peer.Close()
+	})
+	return conn, peer
+}
+
+// TestCloseIdle guards against a connection that is closed as idle although bytes
+// of a request have arrived, also while the process has not read them.
+func TestCloseIdle(t *testing.T) {
+	buffer := make([]byte, 64)
+	for name, c := range map[string]struct {
+		prepare func(conn *Conn, peer net.Conn)
+		closed  bool
+	}{
+		"unused": {func(*Conn, net.Conn) {}, true},
+		"bytes not read": {func(conn *Conn, peer net.Conn) {
+			_, _ = io.WriteString(peer, "G")
+			for !conn.hasUnreadBytes() {
+				time.Sleep(time.Millisecond)
+			}
+		}, false},
+		"bytes read": {func(conn *Conn, peer net.Conn) {
+			_, _ = io.WriteString(peer, "G")
+			_, _ = conn.Read(buffer)
+		}, false},
+		"answered": {func(conn *Conn, peer net.Conn) {
+			_, _ = io.WriteString(peer, "GET")
+			_, _ = conn.Read(buffer)
+			_, _ = conn.Write([]byte("HTTP"))
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, peer := connPair(t)
+			c.prepare(conn, peer)
+			if closed := conn.CloseIdle(); closed != c.closed {
+				t.Errorf("closed %v", closed)
+			}
+			if !c.closed {
+				return
+			}
+			if count, err := conn.Read(buffer); count != 0 || !errors.Is(err, net.ErrClosed) {
+				t.Errorf("read %d bytes after the close, error %v", count, err)
+			}
+		})
+	}
+}
