Do not close a connection as idle while a request arrives

Cause: dcidle closed connections that net/http calls idle, which they are until the whole head of a request was read: while a head arrived in parts, while a request lay unread in the socket of a busy process, and by the timeout of an earlier configuration, although callers follow the newest.

Change: before a connection is closed, it is asked whether bytes have arrived that were not answered, read or not; if so, it is checked again a second later. The timeout is read again when its timer ends.

--- a/internal/dcidle/dcidle.go
+++ b/internal/dcidle/dcidle.go
@@ -12,11 +12,25 @@
 	"github.com/jonboulle/clockwork"
 )
 
-// ConnCloser closes idle connections. Set the exported fields before the first
+// retryPause is the time after which a connection that was not closed, because a
+// request was arriving, is checked again.
+const retryPause = time.Second
+
+// IdleConn is a connection that can tell whether a request is arriving, although it
+// still counts as idle.
+type IdleConn interface {
+	// CloseIdle closes the connection unless a request is arriving, and reports
+	// whether it is closed.
+	CloseIdle() bool
+}
+
+// ConnCloser closes idle connections. Those that implement IdleConn are not closed
+// while a request is arriving. Set the exported fields before the first
 // call. It is safe for concurrent use.
 type ConnCloser struct {
 	// Timeout returns the current idle timeout. It is called each time that a
-	// connection becomes idle.
+	// connection becomes idle, and before it is closed, so that a longer timeout
+	// applies to connections that are already idle.
 	Timeout func() time.Duration
 	Clock   clockwork.Clock
 
@@ -41,21 +55,37 @@
 	if c.timers == nil {
 		c.timers = make(map[net.Conn]clockwork.Timer)
 	}
+	c.start(conn, c.Clock.Now(), c.Timeout())
+}
+
+// start starts the timer of a connection. The caller holds the lock.
+func (c *ConnCloser) start(conn net.Conn, idleSince time.Time, pause time.Duration) {
 	var timer clockwork.Timer
-	timer = c.Clock.AfterFunc(c.Timeout(), func() { c.expire(conn, &timer) })
+	timer = c.Clock.AfterFunc(pause, func() { c.expire(conn, idleSince, &timer) })
 	c.timers[conn] = timer
 }
 
 // expire closes a connection if it is still idle since timer was started. A
 // connection whose request has been read is never closed.
-func (c *ConnCloser) expire(conn net.Conn, timer *clockwork.Timer) {
+func (c *ConnCloser) expire(conn net.Conn, idleSince time.Time, timer *clockwork.Timer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.timers[conn] != *timer {
 		return
 	}
+	if left := c.Timeout() - c.Clock.Since(idleSince); left > 0 {
+		c.start(conn, idleSince, left)
+		return
+	}
+	if idle, ok := conn.(IdleConn); ok {
+		if !idle.CloseIdle() {
+			c.start(conn, idleSince, retryPause)
+			return
+		}
+	} else {
+		// The server detects the closed connection; an error of Close has no
+		// consequence.
+		_ = conn.Close()
+	}
 	delete(c.timers, conn)
-	// The server detects the closed connection; an error of Close has no
-	// consequence.
-	_ = conn.Close()
 }
--- a/internal/dcidle/dcidle_test.go
+++ b/internal/dcidle/dcidle_test.go
@@ -17,6 +17,17 @@
 	closed atomic.Bool
 }
 
+// arrivingConn is a connection on which a request is arriving.
+type arrivingConn struct {
+	fakeConn
+	arriving atomic.Bool
+}
+
+func (c *arrivingConn) CloseIdle() bool {
+	c.closed.Store(!c.arriving.Load())
+	return c.closed.Load()
+}
+
 func (c *fakeConn) Close() error {
 	c.closed.Store(true)
 	return nil
@@ -24,9 +35,13 @@
 
 // TestOnStateChange guards against connections that stay open past the idle
 // timeout, and against connections that are closed during a request or by the
-// timeout of an earlier configuration.
+// timeout of an earlier configuration, which a caller follows no more.
 func TestOnStateChange(t *testing.T) {
-	const timeout = 10 * time.Second
+	const (
+		timeout = 10 * time.Second
+		// unchanged is a step in which only the timeout changes.
+		unchanged = http.ConnState(-1)
+	)
 	type step struct {
 		state   http.ConnState
 		wait    time.Duration
@@ -43,6 +58,8 @@
 		"used again":          {[]step{{http.StateIdle, timeout - 1, timeout}, {http.StateActive, timeout, timeout}, {http.StateIdle, timeout - 1, timeout}}, false},
 		"closed by its peer":  {[]step{{http.StateIdle, 0, timeout}, {http.StateClosed, 2 * timeout, timeout}}, false},
 		"timeout was raised":  {[]step{{http.StateIdle, 1, timeout}, {http.StateActive, 1, timeout}, {http.StateIdle, timeout + 1, 2 * timeout}}, false},
+		"timeout is raised":   {[]step{{http.StateIdle, timeout / 2, timeout}, {unchanged, timeout, 2 * timeout}}, false},
+		"past raised timeout": {[]step{{http.StateIdle, timeout / 2, timeout}, {unchanged, 2 * timeout, 2 * timeout}}, true},
 		"timeout was lowered": {[]step{{http.StateIdle, 1, timeout}, {http.StateActive, 1, timeout}, {http.StateIdle, timeout / 2, timeout / 2}}, true},
 	} {
 		synctest.Test(t, func(t *testing.T) {
@@ -51,7 +68,9 @@
 			conn := &fakeConn{}
 			for _, step := range c.steps {
 				current.Store(int64(step.timeout))
-				closer.OnStateChange(conn, step.state)
+				if step.state != unchanged {
+					closer.OnStateChange(conn, step.state)
+				}
 				time.Sleep(step.wait)
 				synctest.Wait()
 			}
@@ -62,3 +81,26 @@
 		})
 	}
 }
+
+// TestArrivingRequest guards against a connection that is closed while a request is
+// arriving, and against one that then stays open for ever.
+func TestArrivingRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const timeout = 10 * time.Second
+		closer := &ConnCloser{Timeout: func() time.Duration { return timeout }, Clock: clockwork.NewRealClock()}
+		conn := &arrivingConn{}
+		conn.arriving.Store(true)
+		closer.OnStateChange(conn, http.StateIdle)
+		time.Sleep(2 * timeout)
+		synctest.Wait()
+		if conn.closed.Load() {
+			t.Error("closed while a request was arriving")
+		}
+		conn.arriving.Store(false)
+		time.Sleep(2 * retryPause)
+		synctest.Wait()
+		if !conn.closed.Load() {
+			t.Error("not closed after the request had not arrived")
+		}
+	})
+}
