Tell the other hosts of a stop directly

What callers saw: for up to a second after the SIGTERM to a host, the others still named it in their address answers, since they learn of its record by the pause between two calls to the store. Callers keep such an answer for up to three seconds, so that some arrive after the listener has closed, or are refused because the stop time is too short for them.

Change: a host that stops sends its record to the other hosts by the call that shares suspicions. They leave it out of their answers for four seconds, by when the store reports the change, unless no other host is left.

Evidence: TestAnnounce, TestPeerLeaves.

--- a/internal/dcrelay/dcrelay.go
+++ b/internal/dcrelay/dcrelay.go
@@ -18,6 +18,7 @@
 	"github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/host/v1/hostv1connect"
 	peerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/peer/v1"
 
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
 	"github.com/dandelioncart/dandelioncart/internal/dcstore"
 )
 
@@ -44,6 +45,8 @@
 	// this one.
 	Merge      func(suspicions []*peerv1.Suspicion)
 	Suspicions func() []*peerv1.Suspicion
+	// HostLeaves is called with the ID of a host that says that it stops.
+	HostLeaves func(host dcid.HostID)
 }
 
 var _ hostv1connect.HostServiceHandler = (*RecordServer)(nil)
@@ -71,6 +74,9 @@
 
 // ShareSuspicions implements hostv1connect.HostServiceHandler.
 func (s *RecordServer) ShareSuspicions(_ context.Context, request *connect.Request[hostv1.ShareSuspicionsRequest]) (*connect.Response[hostv1.ShareSuspicionsResponse], error) {
+	if host := request.Msg.GetHost(); host.GetState() == hostv1.State_STATE_LEAVING {
+		s.HostLeaves(dcid.HostID(host.GetHostId()))
+	}
 	response := &hostv1.ShareSuspicionsResponse{}
 	if suspicions := request.Msg.GetSuspicions(); len(suspicions) > 0 {
 		s.Merge(suspicions)
--- a/internal/dcrelay/suspicions.go
+++ b/internal/dcrelay/suspicions.go
@@ -32,22 +32,35 @@
 	maxPendingSuspicions = 1024
 )
 
-// Sharer passes what this host knows of requests that crash servers to the other
-// hosts. Set the exported fields before Run.
+// Sharer passes what this host knows of requests that crash servers, and that it
+// stops, to the other hosts. Set the exported fields before Run.
 type Sharer struct {
 	HTTP *http.Client
 	// Addresses returns the addresses of other hosts.
 	Addresses func() []string
 	// Merge is called with the suspicions of other hosts.
 	Merge func(suspicions []*peerv1.Suspicion)
+	// Host returns the record of this host.
+	Host  func() *hostv1.Record
 	Clock clockwork.Clock
 	Log   *zap.Logger
 
 	mu sync.Mutex
 	// pending holds the suspicions to send by digest.
-	pending  map[string]*peerv1.Suspicion
-	wake     chan struct{}
-	wakeOnce sync.Once
+	pending map[string]*peerv1.Suspicion
+	// announcing is set if the record of this host is to be sent at once.
+	announcing bool
+	wake       chan struct{}
+	wakeOnce   sync.Once
+}
+
+// Announce sends the record of this host to the other hosts at once. It does not
+// block.
+func (s *Sharer) Announce() {
+	s.mu.Lock()
+	s.announcing = true
+	s.mu.Unlock()
+	s.wakeUp()
 }
 
 // Share sends suspicions to the other hosts soon. It does not block.
@@ -62,6 +75,10 @@
 		}
 	}
 	s.mu.Unlock()
+	s.wakeUp()
+}
+
+func (s *Sharer) wakeUp() {
 	select {
 	case s.wakeChannel() <- struct{}{}:
 	default:
@@ -69,7 +86,7 @@
 }
 
 // Run asks the other hosts for what they know, and then sends what this host
-// learns, until ctx ends.
+// learns or announces, until ctx ends.
 func (s *Sharer) Run(ctx context.Context) error {
 	s.send(ctx, nil)
 	for {
@@ -78,12 +95,18 @@
 			return nil
 		case <-s.wakeChannel():
 		}
-		s.wait(ctx, shareDelay)
+		s.mu.Lock()
+		announcing := s.announcing
+		s.announcing = false
+		s.mu.Unlock()
+		if !announcing {
+			s.wait(ctx, shareDelay)
+		}
 		s.mu.Lock()
 		suspicions := slices.Collect(maps.Values(s.pending))
 		s.pending = nil
 		s.mu.Unlock()
-		if len(suspicions) > 0 {
+		if announcing || len(suspicions) > 0 {
 			s.send(ctx, suspicions)
 		}
 	}
@@ -113,7 +136,7 @@
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
 			stub := hostv1connect.NewHostServiceClient(s.HTTP, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
-			response, err := stub.ShareSuspicions(ctx, connect.NewRequest(&hostv1.ShareSuspicionsRequest{Suspicions: suspicions}))
+			response, err := stub.ShareSuspicions(ctx, connect.NewRequest(&hostv1.ShareSuspicionsRequest{Suspicions: suspicions, Host: s.Host()}))
 			if err != nil {
 				mu.Lock()
 				defer mu.Unlock()
--- a/internal/dcrelay/suspicions_test.go
+++ b/internal/dcrelay/suspicions_test.go
@@ -6,13 +6,17 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	hostv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/host/v1"
 	peerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/peer/v1"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
 )
 
 // TestShareSuspicions guards against a request that crashes servers once for each
@@ -42,6 +46,7 @@
 		HTTP:      listener.Client(),
 		Addresses: func() []string { return []string{strings.TrimPrefix(listener.URL, "http://"), "127.0.0.1:1"} },
 		Merge:     record("self"),
+		Host:      func() *hostv1.Record { return &hostv1.Record{HostId: "self", State: hostv1.State_STATE_SERVING} },
 		Clock:     clockwork.NewRealClock(),
 		Log:       zap.NewNop(),
 	}
@@ -70,3 +75,49 @@
 		t.Errorf("suspicions %v, want the new one at the other host and the known one here", got)
 	}
 }
+
+// TestAnnounce guards against other hosts that direct callers to a host that stops
+// until the store reports the change, and against a host that counts as stopping
+// because it shares suspicions.
+func TestAnnounce(t *testing.T) {
+	leaves := make(chan dcid.HostID, 8)
+	shared := make(chan struct{}, 8)
+	server := &RecordServer{
+		Merge:      func([]*peerv1.Suspicion) { shared <- struct{}{} },
+		Suspicions: func() []*peerv1.Suspicion { return nil },
+		HostLeaves: func(host dcid.HostID) { leaves <- host },
+	}
+	mux := http.NewServeMux()
+	mux.Handle(server.Handler())
+	listener := httptest.NewServer(mux)
+	defer listener.Close()
+	var state atomic.Int32
+	state.Store(int32(hostv1.State_STATE_SERVING))
+	sharer := &Sharer{
+		HTTP:      listener.Client(),
+		Addresses: func() []string { return []string{strings.TrimPrefix(listener.URL, "http://")} },
+		Merge:     func([]*peerv1.Suspicion) {},
+		Host: func() *hostv1.Record {
+			return &hostv1.Record{HostId: "self", State: hostv1.State(state.Load())}
+		},
+		Clock: clockwork.NewRealClock(),
+		Log:   zap.NewNop(),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- sharer.Run(ctx) }()
+	sharer.Share([]*peerv1.Suspicion{{Digest: "new"}})
+	<-shared
+	if len(leaves) > 0 {
+		t.Error("a host that serves counts as stopping")
+	}
+	state.Store(int32(hostv1.State_STATE_LEAVING))
+	sharer.Announce()
+	if host := <-leaves; host != "self" {
+		t.Errorf("host %q announced its stop, want self", host)
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/dcroster/dcroster.go
+++ b/internal/dcroster/dcroster.go
@@ -104,6 +104,9 @@
 	listed bool
 	// lastSeen is the time at which the host itself last sent its record.
 	lastSeen time.Time
+	// leavingUntil is the time until which the host counts as leaving because it said
+	// so itself, zero when it has not.
+	leavingUntil time.Time
 	// unconfirmed is set while the record has not been written since the store was
 	// restored from an older copy, which may list hosts that are gone.
 	unconfirmed bool
@@ -208,6 +211,10 @@
 		r.peers[id] = other
 	}
 	same := proto.Equal(other.record, host)
+	if other.record.GetState() == hostv1.State_STATE_LEAVING && host.GetState() == hostv1.State_STATE_SERVING {
+		// The host has been started again.
+		other.leavingUntil = time.Time{}
+	}
 	other.record = host
 	delete(r.departed, id)
 	other.listed = other.listed || listed
@@ -358,6 +365,7 @@
 	if !r.leaving {
 		hosts = append(hosts, r.Self)
 	}
+	hosts = r.withoutAnnounced(hosts)
 	slices.SortFunc(hosts, func(a, b *hostv1.Record) int { return cmp.Compare(a.GetHostId(), b.GetHostId()) })
 	for _, host := range hosts {
 		addresses = append(addresses, host.GetCallerAddress())
--- a/internal/dcroster/dcroster_test.go
+++ b/internal/dcroster/dcroster_test.go
@@ -63,6 +63,40 @@
 	}
 }
 
+// TestPeerLeaves guards against callers that are directed to a host that stops until
+// the store reports the change of its record, and against a host that is left out
+// although it was started again or goes on.
+func TestPeerLeaves(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	roster := newRoster(clock, nil)
+	roster.Synced()
+	for _, id := range []string{"h2", "h3"} {
+		roster.Put(newStoreRecord(t, newHostRecord(id, hostv1.State_STATE_SERVING)))
+	}
+	check := func(when string, want ...string) {
+		t.Helper()
+		if got := roster.CallerAddresses(); !slices.Equal(got, want) {
+			t.Errorf("%s: addresses %v, want %v", when, got, want)
+		}
+	}
+	roster.PeerLeaves("h2")
+	roster.PeerLeaves("h9")
+	check("after the announcement", "h1:1", "h3:1")
+	if got := roster.Count(); got != 3 {
+		t.Errorf("%d hosts are counted, want 3: one that stops still sends to the servers", got)
+	}
+	roster.Put(newStoreRecord(t, newHostRecord("h2", hostv1.State_STATE_LEAVING)))
+	roster.Put(newStoreRecord(t, newHostRecord("h2", hostv1.State_STATE_SERVING)))
+	check("after a start", "h1:1", "h2:1", "h3:1")
+	roster.PeerLeaves("h3")
+	clock.Advance(announcementTime)
+	check("after the announcement has expired", "h1:1", "h2:1", "h3:1")
+	roster.PeerLeaves("h2")
+	roster.PeerLeaves("h3")
+	roster.Leave()
+	check("while all stop and the store reports none", "h2:1", "h3:1")
+}
+
 // TestRecordRewritten guards against a host that is not listed: after its
 // start, after its record was removed, and as leaving.
 func TestRecordRewritten(t *testing.T) { synctest.Test(t, testRecordRewritten) }
