Assume a latency while few are known in a stopping host

Change: while few latencies are known, 2.5 times the latency target of the route is assumed, or the longest known if that is more.

Evidence: the case "latency unknown, early" of TestStopAdmission.

--- a/internal/dcdrain/window.go
+++ b/internal/dcdrain/window.go
@@ -22,8 +22,7 @@
 type Request struct {
 	// Deadline is the time by which the request is answered in any case.
 	Deadline time.Time
-	// Longest is the longest latency of such requests that was seen lately, 0 if too
-	// few were seen.
+	// Longest is the longest latency of such requests, 0 if nothing is known of it.
 	Longest time.Duration
 }
 
--- a/internal/dcengine/routes.go
+++ b/internal/dcengine/routes.go
@@ -128,19 +128,16 @@
 	return latency
 }
 
-// longestLatency returns the longest latency of the servers within longWindow, 0
-// while too few are known.
-func (r *routeState) longestLatency(now time.Time) time.Duration {
+// longestLatency returns the longest latency of the servers within longWindow, 0 for
+// none, and whether enough are known to tell how long requests take.
+func (r *routeState) longestLatency(now time.Time) (longest time.Duration, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.longTerm == nil {
-		return 0
+		return 0, false
 	}
 	longest, samples := r.longTerm.Value(longestIndex, now)
-	if samples < minLongestSamples {
-		return 0
-	}
-	return longest
+	return longest, samples >= minLongestSamples
 }
 
 // hedgeDelay returns how long to wait for an answer before a hedge is sent.
--- a/internal/dcengine/stop.go
+++ b/internal/dcengine/stop.go
@@ -14,6 +14,10 @@
 // Other hosts can serve them at once.
 const stopRetryAfter = 10 * time.Millisecond
 
+// unknownLatencyFactor multiplies the latency target of a route to give the longest
+// latency that is assumed while too few latencies are known.
+const unknownLatencyFactor = 2.5
+
 // stop is the state of the stop of an engine. The zero value is that of a running
 // one.
 type stop struct {
@@ -43,7 +47,14 @@
 // admit reports whether a stopping host takes a request.
 func (s *stop) admit(r *run, now time.Time) bool {
 	window := s.window.Load()
-	return window == nil || window.Admit(dcdrain.Request{Deadline: r.plan.Deadline, Longest: r.state.longestLatency(now)}, now)
+	if window == nil {
+		return true
+	}
+	longest, known := r.state.longestLatency(now)
+	if !known {
+		longest = max(longest, time.Duration(float64(r.route.LatencyTarget)*unknownLatencyFactor))
+	}
+	return window.Admit(dcdrain.Request{Deadline: r.plan.Deadline, Longest: longest}, now)
 }
 
 func stopRefusal() Reply {
