Ask the system for unread bytes only when a connection is closed

Cause: while a host drains, each check of its connections asked the system about each idle one, every 5 ms.

Change: the check looks at what was read only. The system is asked when a connection is about to be closed.

Evidence: TestCloseIdle and the tests of dclistener pass, also with the race detector.

--- a/internal/dclistener/conn.go
+++ b/internal/dclistener/conn.go
@@ -62,8 +62,8 @@
 	c.unanswered = false
 }
 
-// Arriving reports whether bytes of a request have arrived that have not been
-// answered, read or not. The connection must be without a request in progress.
+// Arriving reports whether bytes of a request have been read lately that have not
+// been answered. The connection must be without a request in progress.
 func (c *Conn) Arriving() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -71,15 +71,15 @@
 }
 
 func (c *Conn) arriving() bool {
-	return c.unanswered && c.clock.Since(c.readAt) < arrivalTime || c.hasUnreadBytes()
+	return c.unanswered && c.clock.Since(c.readAt) < arrivalTime
 }
 
-// CloseIdle closes the connection unless a request is arriving. It reports whether
-// the connection is closed.
+// CloseIdle closes the connection unless bytes of a request have arrived, read or
+// not. It reports whether the connection is closed.
 func (c *Conn) CloseIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closedIdle && c.arriving() {
+	if !c.closedIdle && (c.arriving() || c.hasUnreadBytes()) {
 		return false
 	}
 	c.closedIdle = true
