--- a/internal/dcengine/admission.go
+++ b/internal/dcengine/admission.go
@@ -34,9 +34,10 @@
 }
 
 // admit decides whether a request may run, before anything is sent. It refuses
-// requests that a stopping host may not answer in time, requests for which too few services have a server, those for which the servers
-// have no room or want no requests, and those that servers would refuse because of
-// overload. Parts without room that the request can do without are left out.
+// requests that a stopping host may not answer in time, those for which too few
+// services have a server, those for which the servers have no room or want no
+// requests, and those that servers would refuse because of overload. Parts without
+// room that the request can do without are left out.
 func (r *run) admit(now time.Time) (refusal Reply, ok bool) {
 	if !r.engine.stop.admit(r, now) {
 		return stopRefusal(), false
