--- a/internal/dclistener/dclistener_test.go
+++ b/internal/dclistener/dclistener_test.go
@@ -155,14 +155,7 @@
 			}
 			drained := make(chan error, 1)
 			go func() { drained <- server.Drain(t.Context()) }()
-			// The listener closes after Drain has begun.
-			for {
-				other, err := net.Dial("tcp", server.Listener.Addr().String())
-				if err != nil {
-					break
-				}
-				other.Close()
-			}
+			awaitListenerClosed(server)
 			if response := exchange(t, conn, reader, rest); !response.Close {
 				t.Error("the answer does not close the connection")
 			}
@@ -200,13 +193,7 @@
 	<-started
 	drained := make(chan error, 1)
 	go func() { drained <- server.Drain(t.Context()) }()
-	for {
-		other, err := net.Dial("tcp", server.Listener.Addr().String())
-		if err != nil {
-			break
-		}
-		other.Close()
-	}
+	awaitListenerClosed(server)
 	if response := exchange(t, conns[0], readers[0], "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); !response.Close {
 		t.Error("the answer during the stop does not close the connection")
 	}
@@ -219,6 +206,18 @@
 	}
 }
 
+// awaitListenerClosed waits until the server accepts no more connections, which is
+// after Drain has begun.
+func awaitListenerClosed(server *Server) {
+	for {
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			return
+		}
+		conn.Close()
+	}
+}
+
 // exchange writes text to a connection and returns the response that follows.
 func exchange(t *testing.T, conn net.Conn, reader *bufio.Reader, text string) *http.Response {
 	t.Helper()
