--- a/review/kit-2/server.go
+++ b/review/kit-2/server.go
@@ -17,6 +17,10 @@
 	healthPath = "/health"
 )
 
+// serverIP is the address of all servers. Outgoing connections do not come from it, so
+// that they do not take the port of a server that is about to start again.
+var serverIP = fmt.Sprintf("127.%d.%d.100", 2+rand.IntN(200), 1+rand.IntN(250))
+
 // server stands in for a server of a service. It keeps its address when it starts
 // again, with a new ID, as a process that crashed does.
 type server struct {
@@ -59,7 +63,7 @@
 func (s *server) start() {
 	address := s.address
 	if address == "" {
-		address = "127.0.0.1:0"
+		address = serverIP + ":0"
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
