--- a/review/kit-2/poison.go
+++ b/review/kit-2/poison.go
@@ -166,7 +166,6 @@
 func init() {
 	cases["moved-route"] = movedRoute
 	cases["restart"] = restart
-	cases["at-once"] = atOnce
 }
 
 // movedRoute moves the route of a request from a service that answers it to one whose
@@ -219,20 +218,3 @@
 	}
 	p.judge()
 }
-
-// atOnce has a consumer that repeats a request at once at the other hosts.
-func atOnce(trouble bool) {
-	p := &poison{}
-	startSystem(p, false)
-	repeats := 0
-	if trouble {
-		repeats = 3
-	}
-	for i := range 5 {
-		for k := range 1 + repeats {
-			p.come(hosts[(i+k)%len(hosts)])
-		}
-		time.Sleep(8 * time.Second)
-	}
-	p.judge()
-}
