Count cut requests of case 6 as the rule does

Cause: LOST counts cuts beside a configuration only where they are over three times as frequent then as at other times. The script went on to end hosts after that time and did not check it.

Change: the new route gets three requests at each host, all within the time that counts, and the script compares the two rates for each host.

--- a/review/kit-2/attempts.go
+++ b/review/kit-2/attempts.go
@@ -23,6 +23,8 @@
 	callersPerHost = 6
 	// work is how long a request of these consumers runs.
 	work = 220 * time.Millisecond
+	// calmTime is the time before the version, and after its last request.
+	calmTime = 5 * time.Second
 	// ownEnds is the number of times that a process may not end by itself.
 	ownEnds = 3
 )
@@ -91,32 +93,44 @@
 			mu.Unlock()
 		})
 	}
-	time.Sleep(5 * time.Second)
+	called := time.Now()
+	time.Sleep(calmTime)
 	written := time.Now()
 	note("the operator writes version 9, which adds /rany331/ with maximum_attempts %d", added.Attempts)
 	s.put("op/config", configuration(9, []route{yieldRoute("kafi81c"), query, added}, names...))
-	time.Sleep(2 * time.Second)
-	for range 12 {
+	time.Sleep(1500 * time.Millisecond)
+	for range ownEnds {
 		for _, h := range hosts {
 			send(h, "GET", query.Host, "/rany331/2f", newID(), 2*time.Second, nil)
 		}
-		time.Sleep(700 * time.Millisecond)
+		time.Sleep(900 * time.Millisecond)
 	}
+	time.Sleep(calmTime)
 	close(stop)
 	group.Wait()
 	mu.Lock()
 	defer mu.Unlock()
-	lost := 0
+	// Cuts beside the configuration count at machines where they are over three times as
+	// frequent then as at other times.
+	beside, otherwise := map[string]int{}, map[string]int{}
 	for _, c := range cuts {
 		if since := c.sentAt.Sub(written); since >= 0 && since <= configurationTime {
-			lost++
+			beside[c.host]++
 			note("request %s at %s was passed on and cut, sent %.1f s after the version", c.id, c.host, since.Seconds())
+		} else {
+			otherwise[c.host]++
 		}
 	}
-	often := 0
-	for name, count := range ends {
-		note("the process of %s has ended %d times by itself", name, count)
-		if count >= ownEnds {
+	otherTime := time.Since(called) - configurationTime
+	lost, often := 0, 0
+	for _, h := range hosts {
+		then := float64(beside[h.name]) / configurationTime.Seconds()
+		usual := float64(otherwise[h.name]) / otherTime.Seconds()
+		note("%s cut %.2f requests a second beside the configuration, %.2f at other times; its process has ended %d times by itself", h.name, then, usual, ends[h.name])
+		if then > 3*usual {
+			lost += beside[h.name]
+		}
+		if ends[h.name] >= ownEnds {
 			often++
 		}
 	}
