--- a/internal/dcengine/quarantine.go
+++ b/internal/dcengine/quarantine.go
@@ -81,6 +81,14 @@
 	return e.quarantine.table.Entries(maxSharedBytes, e.Clock.Now())
 }
 
+// SuspicionsAfter returns what this host knows of requests that crash servers, in the
+// order of digests from the one after a digest, and whether there are more.
+func (e *Engine) SuspicionsAfter(after dcquarantine.Digest) (suspicions []*peerv1.Suspicion, more bool) {
+	e.quarantine.mu.Lock()
+	defer e.quarantine.mu.Unlock()
+	return e.quarantine.table.EntriesAfter(after, maxSharedBytes, e.Clock.Now())
+}
+
 // share passes suspicions that have changed to the other hosts.
 func (e *Engine) share(suspicions []*peerv1.Suspicion) {
 	if e.ShareSuspicions != nil && len(suspicions) > 0 {
--- /dev/null
+++ b/internal/dcexchange/dcexchange.go
@@ -0,0 +1,245 @@
+// Package dcexchange decides when two hosts exchange what they know and what the other
+// one may lack. An exchange is due when a host is first seen, when it runs a new
+// process, when it comes back into the list of hosts, and when something could not be
+// sent to it. Between hosts that stay in touch none is due. The package opens no sockets
+// and reads no clock.
+//
+// It answers the load of a deployment whose hosts all start at once, or are restarted in
+// turn: of two hosts, one makes the call, and those that do not answer are tried less
+// and less often.
+package dcexchange
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/dandelioncart/dandelioncart/internal/dcid"
+)
+
+const (
+	// YieldTime is how long the process of two that started first leaves the call to
+	// the other one.
+	YieldTime = time.Second
+	// minRetryPause and MaxRetryPause are the shortest and the longest pause after an
+	// exchange that failed.
+	minRetryPause = 500 * time.Millisecond
+	MaxRetryPause = 2 * time.Second
+	// maxCallers limits the hosts that are remembered before the list has them.
+	maxCallers = 4096
+)
+
+// Peer is another host.
+type Peer struct {
+	// ID is empty for an address whose host is not known.
+	ID dcid.HostID
+	// Address is the address for calls of other hosts.
+	Address string
+	// Started is the time at which the process of the host started, zero if it is not
+	// known.
+	Started time.Time
+	// Arrival numbers the last time at which the host came into the list of hosts.
+	Arrival int
+}
+
+// isSameContact reports whether there was no new process and no arrival between two
+// states of a host.
+func (p *Peer) isSameContact(other *Peer) bool {
+	return p.ID == other.ID && p.Started.Equal(other.Started) && p.Arrival == other.Arrival
+}
+
+// Call is an exchange with a host.
+type Call struct {
+	Address string
+	// revision is that of the host when the call began.
+	revision int
+}
+
+// Plan holds the exchanges that are due. Set the exported fields before the first call.
+// It is not safe for concurrent use.
+type Plan struct {
+	// Self is the ID of this host and the time at which its process started.
+	Self Peer
+
+	// peers holds the known hosts by address.
+	peers map[string]*peer
+	// callers holds the start of the processes that have exchanged with this one before
+	// the list had them, by address.
+	callers map[string]time.Time
+}
+
+type peer struct {
+	// Peer is the host as the list has it.
+	Peer
+	// process is the start of the process of the last complete exchange, which the list
+	// may not have yet.
+	process time.Time
+	// complete is set if both hosts have what the other one knew at the time of the
+	// last exchange, and since then have been sent what was new.
+	complete bool
+	// revision increases when the host misses something or is in touch again. A call
+	// that began before does not complete the exchange.
+	revision int
+	// dueAt is the time of the next exchange unless complete is set.
+	dueAt time.Time
+	// running is set during a call to the host.
+	running  bool
+	failures int
+}
+
+// Update sets the hosts that are known. Those that are not among them are dropped.
+func (p *Plan) Update(peers []Peer, now time.Time) {
+	known := make(map[string]*peer, len(peers))
+	for _, seen := range peers {
+		held := p.peers[seen.Address]
+		if held == nil {
+			held = &peer{dueAt: p.firstCall(&seen, now)}
+			if process, ok := p.callers[seen.Address]; ok && process.Equal(seen.Started) {
+				held.complete, held.process = true, process
+			}
+			delete(p.callers, seen.Address)
+		} else if !held.isSameContact(&seen) && !held.hasMet(&seen) {
+			held.miss(p.firstCall(&seen, now))
+		}
+		held.Peer = seen
+		known[seen.Address] = held
+	}
+	p.peers = known
+}
+
+// hasMet reports whether the list only shows now the process of the last exchange.
+func (p *peer) hasMet(seen *Peer) bool {
+	returned := p.ID != "" && p.Arrival != seen.Arrival
+	return p.complete && !returned && !seen.Started.IsZero() && seen.Started.Equal(p.process)
+}
+
+// firstCall returns the time of the first call to a host. The process that started last
+// calls at once, since it is the one that lacks most.
+func (p *Plan) firstCall(seen *Peer, now time.Time) time.Time {
+	startedFirst := cmp.Or(p.Self.Started.Compare(seen.Started), cmp.Compare(p.Self.ID, seen.ID)) < 0
+	if startedFirst && seen.ID != "" {
+		return now.Add(YieldTime)
+	}
+	return now
+}
+
+func (p *peer) miss(dueAt time.Time) {
+	p.revision++
+	if p.complete || dueAt.Before(p.dueAt) {
+		p.dueAt = dueAt
+	}
+	p.complete, p.failures = false, 0
+}
+
+// Missed is called when something could not be sent to a host.
+func (p *Plan) Missed(address string, now time.Time) {
+	if held := p.peers[address]; held != nil {
+		held.miss(now.Add(minRetryPause))
+	}
+}
+
+// Sending is called before something is sent to the hosts of the list. Hosts that are
+// not among them yet miss it.
+func (p *Plan) Sending() { clear(p.callers) }
+
+// Due returns the exchanges to begin now, those first that have failed least often. Each
+// of them ends with Complete or Fail.
+func (p *Plan) Due(now time.Time) (calls []Call) {
+	var due []*peer
+	for _, held := range p.peers {
+		if !held.complete && !held.running && !held.dueAt.After(now) {
+			due = append(due, held)
+		}
+	}
+	slices.SortFunc(due, func(a, b *peer) int {
+		return cmp.Or(cmp.Compare(a.failures, b.failures), a.dueAt.Compare(b.dueAt), cmp.Compare(a.Address, b.Address))
+	})
+	for _, held := range due {
+		held.running = true
+		calls = append(calls, held.call())
+	}
+	return calls
+}
+
+func (p *peer) call() Call { return Call{Address: p.Address, revision: p.revision} }
+
+// Next returns the time at which the next exchange is due, false if there is none.
+func (p *Plan) Next() (next time.Time, ok bool) {
+	for _, held := range p.peers {
+		if !held.complete && !held.running && (!ok || held.dueAt.Before(next)) {
+			next, ok = held.dueAt, true
+		}
+	}
+	return next, ok
+}
+
+// Complete ends an exchange that this host began. started is the start of the process
+// that answered, zero if that is not known.
+func (p *Plan) Complete(call Call, started, now time.Time) {
+	held := p.peers[call.Address]
+	if held == nil {
+		return
+	}
+	held.running = false
+	held.finish(call, started, now)
+}
+
+// finish completes an exchange with a process unless the host has missed something since
+// it began, or has started a newer process.
+func (p *peer) finish(call Call, started, now time.Time) {
+	if started.IsZero() {
+		started = p.Started
+	}
+	if p.revision != call.revision || started.Before(p.Started) {
+		p.dueAt = now.Add(minRetryPause)
+		return
+	}
+	p.complete, p.process, p.failures = true, started, 0
+}
+
+// Fail ends an exchange that this host began and the other one did not answer.
+func (p *Plan) Fail(call Call, now time.Time) {
+	held := p.peers[call.Address]
+	if held == nil {
+		return
+	}
+	held.running = false
+	if held.complete {
+		return
+	}
+	held.dueAt = now.Add(min(minRetryPause<<min(held.failures, 8), MaxRetryPause))
+	held.failures++
+}
+
+// Answering returns the exchange that another host has begun, before this host answers.
+func (p *Plan) Answering(address string) Call {
+	if held := p.peers[address]; held != nil {
+		return held.call()
+	}
+	return Call{Address: address}
+}
+
+// Answered ends an exchange that another host began. started is the start of its
+// process, zero if that is not known.
+func (p *Plan) Answered(call Call, started, now time.Time) {
+	held := p.peers[call.Address]
+	switch {
+	case held == nil && !started.IsZero() && len(p.callers) < maxCallers:
+		if p.callers == nil {
+			p.callers = make(map[string]time.Time)
+		}
+		p.callers[call.Address] = started
+	case held != nil && !held.complete:
+		held.finish(call, started, now)
+	}
+}
+
+// Started reports whether this host has exchanged with any other one, or knows none.
+func (p *Plan) Started() bool {
+	for _, held := range p.peers {
+		if held.complete {
+			return true
+		}
+	}
+	return len(p.peers) == 0
+}
--- a/internal/dcmirror/record_set.go
+++ b/internal/dcmirror/record_set.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/dandelioncart/dandelioncart/internal/dcstore"
@@ -50,10 +52,11 @@
 
 // replace takes a snapshot of all records that the store holds. restored is set if
 // the store was restored from a copy since the records were read; the revisions of
-// the snapshot say nothing then of what is newer.
+// the snapshot say nothing then of what is newer. The observer gets the records in the
+// order of keys, whether they come from the store or from another host.
 func (s *recordSet) replace(records []dcstore.Record, restored bool, now time.Time) {
 	present := make(map[string]bool, len(records))
-	for _, record := range records {
+	for _, record := range slices.SortedFunc(slices.Values(records), compareKeys) {
 		present[record.Key] = true
 		s.put(record, restored)
 	}
@@ -64,6 +67,8 @@
 	}
 }
 
+func compareKeys(a, b dcstore.Record) int { return cmp.Compare(a.Key, b.Key) }
+
 // change applies changes in their order. It ignores a removal that is not newer
 // than the record.
 func (s *recordSet) change(changes []dcstore.Change, now time.Time) {
--- a/internal/dcquarantine/merge.go
+++ b/internal/dcquarantine/merge.go
@@ -171,6 +171,36 @@
 	return entries
 }
 
+// EntriesAfter returns the entries whose digests follow one, in the order of digests, as
+// far as their size in a message is at most maxBytes. It reports whether there are more.
+func (t *Table) EntriesAfter(after Digest, maxBytes int, now time.Time) (entries []*peerv1.Suspicion, more bool) {
+	digests := make([]Digest, 0, len(t.entries))
+	for digest := range t.entries {
+		if digest > after {
+			digests = append(digests, digest)
+		}
+	}
+	slices.Sort(digests)
+	for _, digest := range digests {
+		e := t.activeEntry(digest, now)
+		if e == nil {
+			continue
+		}
+		message := e.toProto(digest)
+		if maxBytes -= proto.Size(message) + fieldOverhead; maxBytes < 0 {
+			return entries, true
+		}
+		entries = append(entries, message)
+	}
+	return entries, false
+}
+
+// IsQuarantine reports whether an entry puts a request into quarantine.
+func IsQuarantine(entry *peerv1.Suspicion) bool { return state(entry.GetState()) == quarantined }
+
+// IsCleared reports whether an entry ends a suspicion or a quarantine.
+func IsCleared(entry *peerv1.Suspicion) bool { return state(entry.GetState()) == cleared }
+
 func (e *entry) toProto(digest Digest) *peerv1.Suspicion {
 	return &peerv1.Suspicion{
 		Digest:    string(digest),
--- a/internal/dcquarantine/table_test.go
+++ b/internal/dcquarantine/table_test.go
@@ -344,3 +344,34 @@
 		t.Fatalf("%d of 10 entries were sent", len(sent))
 	}
 }
+
+// TestEntriesAfter guards against entries that are left out, or returned twice, when they
+// take several messages, and against messages that exceed the limit.
+func TestEntriesAfter(t *testing.T) {
+	table := &Table{}
+	for n := range 100 {
+		table.RecordCrash(Digest(fmt.Sprintf("%03d", n)), "server-1", testRule, testStart)
+	}
+	table.RecordCrash("expired", "server-1", Rule{Duration: time.Nanosecond}, testStart)
+	now := testStart.Add(time.Second)
+	const maxBytes = 400
+	var got []string
+	for more := true; more; {
+		var after Digest
+		if len(got) > 0 {
+			after = Digest(got[len(got)-1])
+		}
+		var entries []*peerv1.Suspicion
+		entries, more = table.EntriesAfter(after, maxBytes, now)
+		size := proto.Size(&peerv1.PushSuspicionRequest{Suspicions: entries})
+		if size > maxBytes || len(entries) == 0 {
+			t.Fatalf("%d entries of %d bytes", len(entries), size)
+		}
+		for _, e := range entries {
+			got = append(got, e.GetDigest())
+		}
+	}
+	if len(got) != 100 || !slices.IsSorted(got) || len(slices.Compact(got)) != 100 {
+		t.Errorf("%d entries, want each of 100 once, in order", len(got))
+	}
+}
--- a/internal/dcrelay/dcrelay.go
+++ b/internal/dcrelay/dcrelay.go
@@ -48,6 +48,8 @@
 	// this one.
 	Merge      func(suspicions []*peerv1.Suspicion)
 	Suspicions func() []*peerv1.Suspicion
+	// Exchange answers a call of an exchange.
+	Exchange func(request *hostv1.ShareSuspicionsRequest) *hostv1.ShareSuspicionsResponse
 	// Follow answers a host that follows this one. It may be nil.
 	Follow func(ctx context.Context, query dcstore.FollowQuery) dcstore.FollowAnswer
 	// HostLeaves is called with the ID of a host that says that it stops.
@@ -101,6 +103,9 @@
 	if host := request.Msg.GetHost(); host.GetState() == hostv1.State_STATE_LEAVING {
 		s.HostLeaves(dcid.HostID(host.GetHostId()))
 	}
+	if request.Msg.GetExchange() {
+		return connect.NewResponse(s.Exchange(request.Msg)), nil
+	}
 	response := &hostv1.ShareSuspicionsResponse{}
 	if suspicions := request.Msg.GetSuspicions(); len(suspicions) > 0 {
 		s.Merge(suspicions)
--- a/internal/dcrelay/suspicions.go
+++ b/internal/dcrelay/suspicions.go
@@ -41,13 +41,20 @@
 	// Merge is called with the suspicions of other hosts.
 	Merge func(suspicions []*peerv1.Suspicion)
 	// Host returns the record of this host.
-	Host  func() *hostv1.Record
-	Clock clockwork.Clock
-	Log   *zap.Logger
+	Host func() *hostv1.Record
+	// Sending is called before suspicions are sent, Missed with the addresses of hosts to
+	// which they could not be sent, and Overflow if some are sent to no host.
+	Sending  func()
+	Missed   func(addresses []string)
+	Overflow func()
+	Clock    clockwork.Clock
+	Log      *zap.Logger
 
 	mu sync.Mutex
-	// pending holds the suspicions to send by digest.
-	pending map[string]*peerv1.Suspicion
+	// pending holds the suspicions to send by digest, and overflowed is set if there
+	// were more.
+	pending    map[string]*peerv1.Suspicion
+	overflowed bool
 	// announcing is set if the record of this host is to be sent at once.
 	announcing bool
 	wake       chan struct{}
@@ -72,6 +79,8 @@
 	for _, suspicion := range suspicions {
 		if _, ok := s.pending[suspicion.GetDigest()]; ok || len(s.pending) < maxPendingSuspicions {
 			s.pending[suspicion.GetDigest()] = suspicion
+		} else {
+			s.overflowed = true
 		}
 	}
 	s.mu.Unlock()
@@ -85,10 +94,9 @@
 	}
 }
 
-// Run asks the other hosts for what they know, and then sends what this host
-// learns or announces, until ctx ends.
+// Run sends what this host learns or announces, until ctx ends. What other hosts know
+// is exchanged by an Exchanger.
 func (s *Sharer) Run(ctx context.Context) error {
-	s.send(ctx, nil)
 	for {
 		select {
 		case <-ctx.Done():
@@ -103,9 +111,12 @@
 			s.wait(ctx, shareDelay)
 		}
 		s.mu.Lock()
-		suspicions := slices.Collect(maps.Values(s.pending))
-		s.pending = nil
+		suspicions, overflowed := slices.Collect(maps.Values(s.pending)), s.overflowed
+		s.pending, s.overflowed = nil, false
 		s.mu.Unlock()
+		if overflowed {
+			s.Overflow()
+		}
 		if announcing || len(suspicions) > 0 {
 			s.send(ctx, suspicions)
 		}
@@ -114,6 +125,7 @@
 
 // send sends suspicions to all other hosts, and takes those that they return.
 func (s *Sharer) send(ctx context.Context, suspicions []*peerv1.Suspicion) {
+	s.Sending()
 	addresses := s.Addresses()
 	for attempt := range shareAttempts {
 		if attempt > 0 {
@@ -124,6 +136,7 @@
 		}
 	}
 	s.Log.Info("suspicions not shared with all hosts", zap.Int("suspicions", len(suspicions)), zap.Strings("unreached", addresses))
+	s.Missed(addresses)
 }
 
 // sendOnce returns the addresses of the hosts that did not answer.
--- a/internal/dcrelay/suspicions_test.go
+++ b/internal/dcrelay/suspicions_test.go
@@ -11,12 +11,15 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	tally "github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	hostv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/host/v1"
 	peerv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/peer/v1"
 
+	"github.com/dandelioncart/dandelioncart/internal/dcexchange"
 	"github.com/dandelioncart/dandelioncart/internal/dcid"
+	"github.com/dandelioncart/dandelioncart/internal/dcquarantine"
 )
 
 // TestShareSuspicions guards against a request that crashes servers once for each
@@ -34,26 +37,48 @@
 			}
 		}
 	}
-	server := &RecordServer{
-		Merge:      record("other"),
-		Suspicions: func() []*peerv1.Suspicion { return []*peerv1.Suspicion{{Digest: "known"}} },
+	other := &Exchanger{
+		Host:  func() *hostv1.Record { return &hostv1.Record{HostId: "other"} },
+		Merge: record("other"),
+		Suspicions: func(dcquarantine.Digest) ([]*peerv1.Suspicion, bool) {
+			return []*peerv1.Suspicion{{Digest: "known"}}, false
+		},
+		Clock: clockwork.NewRealClock(),
 	}
+	server := &RecordServer{Merge: record("other"), Exchange: other.Answer}
 	mux := http.NewServeMux()
 	mux.Handle(server.Handler())
 	listener := httptest.NewServer(mux)
 	defer listener.Close()
+	self := func() *hostv1.Record { return &hostv1.Record{HostId: "self", State: hostv1.State_STATE_SERVING} }
+	addresses := []string{strings.TrimPrefix(listener.URL, "http://"), "127.0.0.1:1"}
+	exchanger := &Exchanger{
+		HTTP:       listener.Client(),
+		Host:       self,
+		Peers:      func() ([]dcexchange.Peer, bool) { return nil, false },
+		Seeds:      addresses,
+		Merge:      record("self"),
+		Suspicions: func(dcquarantine.Digest) ([]*peerv1.Suspicion, bool) { return nil, false },
+		Clock:      clockwork.NewRealClock(),
+		Log:        zap.NewNop(),
+		Scope:      tally.NoopScope,
+	}
 	sharer := &Sharer{
 		HTTP:      listener.Client(),
-		Addresses: func() []string { return []string{strings.TrimPrefix(listener.URL, "http://"), "127.0.0.1:1"} },
+		Addresses: func() []string { return addresses },
 		Merge:     record("self"),
-		Host:      func() *hostv1.Record { return &hostv1.Record{HostId: "self", State: hostv1.State_STATE_SERVING} },
+		Host:      self,
+		Sending:   exchanger.Sending,
+		Missed:    exchanger.Missed,
+		Overflow:  exchanger.MissedByAll,
 		Clock:     clockwork.NewRealClock(),
 		Log:       zap.NewNop(),
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
-	done := make(chan error, 1)
+	done := make(chan error, 2)
 	go func() { done <- sharer.Run(ctx) }()
+	go func() { done <- exchanger.Run(ctx) }()
 	sharer.Share([]*peerv1.Suspicion{{Digest: "new"}})
 	sharer.Share([]*peerv1.Suspicion{{Digest: "new"}})
 	for ctx.Err() == nil {
@@ -66,8 +91,10 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	cancel()
-	if err := <-done; err != nil {
-		t.Error(err)
+	for range 2 {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
 	}
 	mu.Lock()
 	defer mu.Unlock()
@@ -100,8 +127,10 @@
 		Host: func() *hostv1.Record {
 			return &hostv1.Record{HostId: "self", State: hostv1.State(state.Load())}
 		},
-		Clock: clockwork.NewRealClock(),
-		Log:   zap.NewNop(),
+		Sending: func() {},
+		Missed:  func([]string) {},
+		Clock:   clockwork.NewRealClock(),
+		Log:     zap.NewNop(),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
--- a/internal/dcroster/dcroster.go
+++ b/internal/dcroster/dcroster.go
@@ -78,6 +78,8 @@
 
 	mu    sync.Mutex
 	peers map[dcid.HostID]*peer
+	// arrivals counts how often other hosts came into the list.
+	arrivals int
 	// departed holds the time at which this host learned that the record of a host
 	// was gone.
 	departed map[dcid.HostID]time.Time
@@ -135,6 +137,10 @@
 	listed bool
 	// lastSeen is the time at which the host itself last sent its record.
 	lastSeen time.Time
+	// arrival numbers the last time at which the host came into the list, and
+	// removalPending is set while its record was removed and may be written again.
+	arrival        int
+	removalPending bool
 	// leavingUntil is the time until which the host counts as leaving because it said
 	// so itself, zero when it has not.
 	leavingUntil time.Time
@@ -255,10 +261,14 @@
 	}
 	other := r.peers[id]
 	if other == nil {
-		other = &peer{}
+		other = &peer{arrival: r.nextArrival()}
 		r.peers[id] = other
 	}
 	same := proto.Equal(other.record, host)
+	if listed && other.removalPending {
+		other.removalPending, same = false, false
+		other.arrival = r.nextArrival()
+	}
 	if other.record.GetState() == hostv1.State_STATE_LEAVING && host.GetState() == hostv1.State_STATE_SERVING {
 		// The host has been started again.
 		other.leavingUntil = time.Time{}
@@ -308,9 +318,16 @@
 }
 
 // RemovalPending takes the key of a record that was removed, but may be written
-// again soon. This host writes its own record again.
+// again soon. This host writes its own record again. Another host whose record is
+// written again has come into the list once more.
 func (r *Roster) RemovalPending(key string) {
-	if r.hostIDFromKey(key) != dcid.HostID(r.Self.GetHostId()) {
+	id := r.hostIDFromKey(key)
+	if id != dcid.HostID(r.Self.GetHostId()) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if other := r.peers[id]; other != nil {
+			other.removalPending = true
+		}
 		return
 	}
 	r.mu.Lock()
--- a/internal/dcstore/fake.go
+++ b/internal/dcstore/fake.go
@@ -173,8 +173,8 @@
 	}
 	swap.Value = slices.Clone(swap.Value)
 	return f.write(ctx, CallCompareAndSwap, func() (Revision, error) {
-		if f.records[swap.Key].Modified != swap.Expected {
-			return 0, ErrConflict
+		if current := f.records[swap.Key].Modified; current != swap.Expected {
+			return 0, &ConflictError{Current: current}
 		}
 		if swap.Lease != 0 && f.leases[swap.Lease] == nil {
 			return 0, ErrLeaseExpired
