--- a/internal/dcattempt/dcattempt.go
+++ b/internal/dcattempt/dcattempt.go
@@ -24,9 +24,6 @@
 	refusalPause = RetryDelay
 )
 
-// MaxSends returns the maximum number of sends of one part.
-func MaxSends(maxAttempts int) int { return 2*maxAttempts + refusalRetries + 1 }
-
 // Policy sets how the parts of a request are sent.
 type Policy struct {
 	// Idempotent is set if the request may run more than once.
@@ -365,7 +362,7 @@
 func (p *Plan) mayRetry(part *part, notRun bool) bool {
 	switch {
 	case notRun:
-		return part.refused <= p.MaxAttempts+refusalRetries && part.attempts < p.MaxAttempts
+		return part.refused-refusalRetries <= p.MaxAttempts && part.attempts < p.MaxAttempts
 	case !p.Idempotent:
 		return false
 	}
@@ -394,7 +391,7 @@
 		wait := p.servers.Wait(index, now)
 		retryAt := now.Add(max(wait, RetryDelay))
 		waitsTooLong := wait > p.MaxWait || !p.MayHaveRun() && retryAt.Sub(part.waitingSince) > p.MaxWait
-		if part.refused > p.MaxAttempts+refusalRetries || waitsTooLong || p.tooLate(now.Add(wait)) {
+		if part.refused-refusalRetries > p.MaxAttempts || waitsTooLong || p.tooLate(now.Add(wait)) {
 			if len(part.inFlight) == 0 {
 				p.setFinal(part, failed)
 			}
--- a/internal/dcengine/dcengine_test.go
+++ b/internal/dcengine/dcengine_test.go
@@ -85,7 +85,7 @@
 
 // newTestEngine returns an engine with the services p1 to p4, each with the
 // servers pN-a and pN-b.
-func newTestEngine(t *testing.T, sender *fakeSender) *Engine {
+func newTestEngine(t testing.TB, sender *fakeSender) *Engine {
 	t.Helper()
 	engine := &Engine{
 		Sender: sender, Connections: sender, Hosts: fakeHosts(2), Clock: clockwork.NewRealClock(),
--- a/internal/dcengine/run.go
+++ b/internal/dcengine/run.go
@@ -55,7 +55,9 @@
 	answered bool
 	// leftOut holds the services whose rate limits had no room for this request.
 	leftOut []string
+	// results takes the results of sends until done is closed.
 	results chan *sendResult
+	done    chan struct{}
 	sendLog sendLog
 	// sends tracks the sends in progress.
 	sends sync.WaitGroup
@@ -77,7 +79,8 @@
 func (r *run) run(ctx context.Context) Reply {
 	clock := r.engine.Clock
 	now := clock.Now()
-	r.results = make(chan *sendResult, len(r.services)*dcattempt.MaxSends(r.route.MaxAttempts))
+	r.results, r.done = make(chan *sendResult), make(chan struct{})
+	defer close(r.done)
 	sendCtx, cancel := clockwork.WithDeadline(context.WithoutCancel(ctx), clock, r.plan.Deadline)
 	defer r.cancelAfterSends(cancel)
 	defer r.stopWaiting()
@@ -164,7 +167,11 @@
 			service.recordAnswer(send.Call, &answer, r.state.typicalLatency(now), r.route.LatencyTarget, engine.place(send.Call.Server.ID, answer.RateLimit), now)
 			r.observeRoom(service.name, started, &answer, now)
 			r.sendLog.ended(entry, &answer, elapsed)
-			r.results <- &sendResult{send: send, answer: answer}
+			select {
+			case r.results <- &sendResult{send: send, answer: answer}:
+			case <-r.done:
+				// The request was answered without this send.
+			}
 		})
 	}
 }
