--- a/internal/dcdocument/dcdocument.go
+++ b/internal/dcdocument/dcdocument.go
@@ -207,23 +207,58 @@
 // OptionalNumber returns a number from low to high, inclusive, or defaultValue if
 // it is missing or invalid.
 func (d *Document) OptionalNumber(path string, defaultValue, low, high float64) float64 {
-	node := d.find(path)
-	if node == nil {
-		return defaultValue
-	}
-	var value float64
-	tag := node.ShortTag()
+	value, ok := d.number(path)
 	switch {
-	case node.Kind != yaml.ScalarNode || tag != "!!int" && tag != "!!float" || node.Decode(&value) != nil || math.IsNaN(value):
-		d.AddError(path, "must be a number, found %s", Describe(node))
+	case !ok:
 		return defaultValue
 	case value < low || value > high:
-		d.AddError(path, "%s must be from %g to %g", Truncate(node.Value), low, high)
+		d.addRangeError(path, low, high)
 		return defaultValue
 	}
 	return value
 }
 
+// LimitedNumber is Number for a field in which numbers above high have the same effect
+// as high, which it returns for them.
+func (d *Document) LimitedNumber(path string, low, high float64) float64 {
+	if d.find(path) == nil {
+		return d.Number(path, low, high)
+	}
+	return d.OptionalLimitedNumber(path, 0, low, high)
+}
+
+// OptionalLimitedNumber is OptionalNumber for a field in which numbers above high have
+// the same effect as high, which it returns for them.
+func (d *Document) OptionalLimitedNumber(path string, defaultValue, low, high float64) float64 {
+	value, ok := d.number(path)
+	switch {
+	case !ok:
+		return defaultValue
+	case value < low:
+		d.addRangeError(path, low, high)
+		return defaultValue
+	}
+	return min(value, high)
+}
+
+// number returns a number, or false if it is missing or invalid.
+func (d *Document) number(path string) (value float64, ok bool) {
+	node := d.find(path)
+	if node == nil {
+		return 0, false
+	}
+	tag := node.ShortTag()
+	if node.Kind != yaml.ScalarNode || tag != "!!int" && tag != "!!float" || node.Decode(&value) != nil || math.IsNaN(value) {
+		d.AddError(path, "must be a number, found %s", Describe(node))
+		return 0, false
+	}
+	return value, true
+}
+
+func (d *Document) addRangeError(path string, low, high float64) {
+	d.AddError(path, "%s must be from %g to %g", Truncate(d.find(path).Value), low, high)
+}
+
 // UnknownPaths returns the sorted paths of the fields that were not looked up and
 // are not in known. If a mapping was looked up or is in known, so are all fields
 // below it. Paths are truncated as by Truncate.
--- a/internal/dcgrant/dcgrant.go
+++ b/internal/dcgrant/dcgrant.go
@@ -87,7 +87,9 @@
 type ask struct {
 	department *dcdepartment.Department
 	ahead      int
-	waiters    []*waiter
+	// wanted is the number of requests that the granting host was asked for.
+	wanted  int
+	waiters []*waiter
 }
 
 // waiter is a request that waits for a grant.
@@ -294,6 +296,7 @@
 			}
 		}
 		if wanted > 0 {
+			a.wanted = wanted
 			request.Departments = append(request.Departments, &hostv1.GrantRequest{Department: string(name), Wanted: int32(wanted)})
 			asks = append(asks, a)
 		}
@@ -350,7 +353,7 @@
 		a.decide(overQuota, delay)
 		return
 	}
-	q.account.Add(name, int(grant.GetGranted()), sent, grant.GetValidFor().AsDuration())
+	q.account.Add(name, min(int(grant.GetGranted()), a.wanted), sent, grant.GetValidFor().AsDuration())
 	var left []*waiter
 	for _, w := range a.waiters {
 		switch {
--- a/internal/dcmirror/record_log.go
+++ b/internal/dcmirror/record_log.go
@@ -62,7 +62,8 @@
 }
 
 // takeRemovals schedules the removals of another host for the times at which that
-// host drops the records, unless a record is newer.
+// host drops the records, unless a record is newer. No host keeps a record longer than
+// outageRemovalDelay.
 func (s *recordSet) takeRemovals(removals []dcstore.Removal, now time.Time) {
 	for _, removal := range removals {
 		known, ok := s.records[removal.Key]
@@ -71,7 +72,7 @@
 			// A host that follows this one may know the record.
 			s.logRemoval(removal.Key)
 		case !known.Position().After(removal.Position):
-			s.scheduleRemoval(removal.Key, now.Add(removal.Remaining))
+			s.scheduleRemoval(removal.Key, now.Add(min(max(removal.Remaining, 0), outageRemovalDelay)))
 		}
 	}
 }
--- a/internal/dcmirror/record_set_test.go
+++ b/internal/dcmirror/record_set_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -33,3 +34,25 @@
 		t.Errorf("records in the order %v", observer.keys)
 	}
 }
+
+// TestRemovalsOfOthers guards against a record that stays in use for as long as another
+// host says, however long that is.
+func TestRemovalsOfOthers(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	for remaining, want := range map[time.Duration]time.Duration{
+		math.MinInt64: 0, -1: 0, 0: 0, 1: 1, time.Second: time.Second, math.MaxInt64: outageRemovalDelay,
+	} {
+		set := newRecordSet(&removalObserver{}, Lasting{})
+		set.replace([]dcstore.Record{{Key: "k", Modified: 1}}, false, now)
+		set.takeRemovals([]dcstore.Removal{{Key: "k", Position: dcstore.Position{Revision: 2}, Remaining: remaining}}, now)
+		if at, ok := set.nextRemoval(); !ok || !at.Equal(now.Add(want)) {
+			t.Errorf("%v remaining: removal after %v, want %v", remaining, at.Sub(now), want)
+		}
+	}
+}
+
+// removalObserver ignores all changes.
+type removalObserver struct{ Observer }
+
+func (*removalObserver) Put(dcstore.Record)    {}
+func (*removalObserver) RemovalPending(string) {}
--- a/internal/dcquarantine/merge.go
+++ b/internal/dcquarantine/merge.go
@@ -14,6 +14,15 @@
 // entry in a message.
 const fieldOverhead = 3
 
+const (
+	// maxMergedDuration limits how long an entry of another host lasts from now on. No
+	// rule lets one last longer.
+	maxMergedDuration = 24 * time.Hour
+	// maxDigestBytes limits the digest of an entry of another host. A digest takes half
+	// of it.
+	maxDigestBytes = 128
+)
+
 // activeEntry returns the entry of a digest, or nil when there is none. An
 // expired entry is deleted.
 func (t *Table) activeEntry(digest Digest, now time.Time) *entry {
@@ -90,9 +99,12 @@
 	for _, received := range entries {
 		digest := Digest(received.GetDigest())
 		e := fromProto(received)
-		if digest == "" || e == nil || !now.Before(e.expiresAt) {
+		if digest == "" || len(digest) > maxDigestBytes || e == nil || !now.Before(e.expiresAt) {
 			continue
 		}
+		if latest := now.Add(maxMergedDuration); e.expiresAt.After(latest) {
+			e.expiresAt = latest
+		}
 		t.mergeEntry(digest, e, now)
 	}
 }
@@ -215,7 +227,7 @@
 func fromProto(message *peerv1.Suspicion) *entry {
 	e := &entry{
 		state:     state(message.GetState()),
-		servers:   slices.Clone(message.GetServers()),
+		servers:   slices.Clone(message.GetServers()[:min(len(message.GetServers()), maxServers)]),
 		expiresAt: time.UnixMilli(message.GetUntilMs()),
 		changedAt: time.UnixMilli(message.GetChangedMs()),
 	}
--- a/internal/dcquarantine/table_test.go
+++ b/internal/dcquarantine/table_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -375,3 +377,22 @@
 		t.Errorf("%d entries, want each of 100 once, in order", len(got))
 	}
 }
+
+// TestMergeLimits guards against an entry of another host that lasts without end, or
+// whose size takes the memory of this one.
+func TestMergeLimits(t *testing.T) {
+	table := &Table{}
+	table.Merge([]*peerv1.Suspicion{
+		{Digest: "a", State: "quarantined", UntilMs: math.MaxInt64, ChangedMs: math.MaxInt64, Servers: make([]string, 100_000)},
+		{Digest: "b", State: "quarantined", UntilMs: math.MinInt64},
+		{Digest: "c", State: "quarantined", UntilMs: -1},
+		{Digest: strings.Repeat("d", maxDigestBytes+1), State: "quarantined", UntilMs: math.MaxInt64},
+	}, testStart)
+	entries, _ := table.EntriesAfter("", 1<<20, testStart)
+	if len(entries) != 1 || entries[0].GetDigest() != "a" || len(entries[0].GetServers()) > maxServers {
+		t.Errorf("%d entries, want that of the first digest with at most %d servers", len(entries), maxServers)
+	}
+	if decision := table.Decide("a", testRule, testStart.Add(maxMergedDuration)); decision.Action == Refuse {
+		t.Errorf("decision %+v after %v", decision, maxMergedDuration)
+	}
+}
