--- a/internal/dcexchange/dcexchange.go
+++ b/internal/dcexchange/dcexchange.go
@@ -51,6 +51,9 @@
 // Call is an exchange with a host.
 type Call struct {
 	Address string
+	// Attempt is the number of calls that have failed before, since the hosts were last
+	// in touch.
+	Attempt int
 	// revision is that of the host when the call began.
 	revision int
 }
@@ -161,7 +164,9 @@
 	return calls
 }
 
-func (p *peer) call() Call { return Call{Address: p.Address, revision: p.revision} }
+func (p *peer) call() Call {
+	return Call{Address: p.Address, Attempt: p.failures, revision: p.revision}
+}
 
 // Next returns the time at which the next exchange is due, false if there is none.
 func (p *Plan) Next() (next time.Time, ok bool) {
--- a/internal/dcrelay/exchange.go
+++ b/internal/dcrelay/exchange.go
@@ -67,8 +67,8 @@
 	listChanged bool
 	// listRead is the time at which the list of hosts was first known, zero before.
 	listRead time.Time
-	wake     chan struct{}
-	wakeOnce sync.Once
+	// changed is notified when the list of hosts or the plan has changed.
+	changed signal
 }
 
 // HostsChanged is called when the list of hosts has changed. It does not block.
@@ -76,14 +76,7 @@
 	e.mu.Lock()
 	e.listChanged = true
 	e.mu.Unlock()
-	e.wakeUp()
-}
-
-func (e *Exchanger) wakeUp() {
-	select {
-	case e.wakeChannel() <- struct{}{}:
-	default:
-	}
+	e.changed.notify()
 }
 
 // Sending is called before something is sent to the hosts of the list.
@@ -101,7 +94,7 @@
 		e.plan.Missed(address, e.Clock.Now())
 	}
 	e.mu.Unlock()
-	e.wakeUp()
+	e.changed.notify()
 }
 
 // MissedByAll is called when something was sent to no host. It does not block.
@@ -125,8 +118,8 @@
 		return false
 	case e.listRead.IsZero():
 		// Run has not taken the list yet.
-		e.listRead, e.listChanged = e.Clock.Now(), true
-		e.wakeUp()
+		e.listChanged = true
+		e.changed.notify()
 		return false
 	}
 	return e.plan.Started() || e.Clock.Since(e.listRead) >= settleTime
@@ -146,7 +139,7 @@
 		calls, next, ok := e.nextCalls()
 		for _, call := range calls {
 			group.Go(func() error {
-				e.exchange(ctx, call)
+				e.makeCall(ctx, call)
 				return nil
 			})
 		}
@@ -157,7 +150,7 @@
 		if ok {
 			pause = next.Sub(e.Clock.Now())
 		}
-		e.wait(ctx, pause)
+		sleep(ctx, e.Clock, pause, e.changed.notified())
 	}
 	return nil
 }
@@ -206,9 +199,9 @@
 	return peers, false
 }
 
-// exchange exchanges with one host.
-func (e *Exchanger) exchange(ctx context.Context, call dcexchange.Call) {
-	started, err := e.exchangeAll(ctx, call.Address)
+// makeCall exchanges with one host and tells the plan how that ended.
+func (e *Exchanger) makeCall(ctx context.Context, call dcexchange.Call) {
+	started, err := e.exchangeWith(ctx, call.Address)
 	e.Scope.Counter("host_exchanges").Inc(1)
 	e.mu.Lock()
 	now := e.Clock.Now()
@@ -222,15 +215,17 @@
 	e.mu.Unlock()
 	if err != nil {
 		e.Scope.Counter("host_exchanges_failed").Inc(1)
+	}
+	if err != nil && call.Attempt == 0 {
 		e.Log.Info("host not reached for an exchange", zap.String("address", call.Address), zap.String("error", err.Error()))
 	}
-	e.wakeUp()
+	e.changed.notify()
 }
 
-// exchangeAll sends what this host knows to the host at an address and takes what that
+// exchangeWith sends what this host knows to the host at an address and takes what that
 // one knows, in as many calls as needed. It returns the start of the process of that
 // host, zero if it does not tell.
-func (e *Exchanger) exchangeAll(ctx context.Context, address string) (started time.Time, err error) {
+func (e *Exchanger) exchangeWith(ctx context.Context, address string) (started time.Time, err error) {
 	defer func() { err = eris.Wrapf(err, "exchange with %s", address) }()
 	stub := hostv1connect.NewHostServiceClient(e.HTTP, "http://"+address, connect.WithReadMaxBytes(maxRequestBytes))
 	var sent dcquarantine.Digest
@@ -245,6 +240,7 @@
 		e.Merge(answer.GetSuspicions())
 		if answer.GetHost() == nil && len(request.GetSuspicions()) > 0 {
 			// A host of an earlier version tells what it knows only if it is sent nothing.
+			sent = lastDigest(request.GetSuspicions(), sent)
 			request = &hostv1.ShareSuspicionsRequest{Exchange: true, More: request.GetMore()}
 			continue
 		}
@@ -309,19 +305,3 @@
 	e.plan.Answered(call, started, e.Clock.Now())
 	return response
 }
-
-// wait waits for a pause, or until the list of hosts or the plan has changed.
-func (e *Exchanger) wait(ctx context.Context, pause time.Duration) {
-	timer := e.Clock.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-	case <-ctx.Done():
-	case <-e.wakeChannel():
-	}
-}
-
-func (e *Exchanger) wakeChannel() chan struct{} {
-	e.wakeOnce.Do(func() { e.wake = make(chan struct{}, 1) })
-	return e.wake
-}
--- a/internal/dcrelay/exchange_test.go
+++ b/internal/dcrelay/exchange_test.go
@@ -316,13 +316,16 @@
 		network := &testNetwork{}
 		a, b := network.newTestHost("a"), network.newTestHost("b")
 		b.handler = earlierVersion(t, b)
-		a.crash("one")
-		b.crash("two")
+		const each = 2000
+		for i := range each {
+			a.crash(dcquarantine.Digest(fmt.Sprintf("%064d", 2*i)))
+		}
+		b.crash(dcquarantine.Digest(fmt.Sprintf("%064d", 1)))
 		a.list(1, b)
 		a.run(ctx)
 		time.Sleep(ExchangeBound)
-		if a.known() != 2 || b.known() != 2 {
-			t.Errorf("the hosts know %d and %d requests, want 2", a.known(), b.known())
+		if a.known() != each+1 || b.known() != each+1 {
+			t.Errorf("the hosts know %d and %d requests, want %d", a.known(), b.known(), each+1)
 		}
 		cancel()
 		synctest.Wait()
--- a/internal/dcrelay/suspicions.go
+++ b/internal/dcrelay/suspicions.go
@@ -57,8 +57,8 @@
 	overflowed bool
 	// announcing is set if the record of this host is to be sent at once.
 	announcing bool
-	wake       chan struct{}
-	wakeOnce   sync.Once
+	// changed is notified when there is something to send.
+	changed signal
 }
 
 // Announce sends the record of this host to the other hosts at once. It does not
@@ -67,7 +67,7 @@
 	s.mu.Lock()
 	s.announcing = true
 	s.mu.Unlock()
-	s.wakeUp()
+	s.changed.notify()
 }
 
 // Share sends suspicions to the other hosts soon. It does not block.
@@ -84,14 +84,7 @@
 		}
 	}
 	s.mu.Unlock()
-	s.wakeUp()
-}
-
-func (s *Sharer) wakeUp() {
-	select {
-	case s.wakeChannel() <- struct{}{}:
-	default:
-	}
+	s.changed.notify()
 }
 
 // Run sends what this host learns or announces, until ctx ends. What other hosts know
@@ -101,14 +94,14 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-s.wakeChannel():
+		case <-s.changed.notified():
 		}
 		s.mu.Lock()
 		announcing := s.announcing
 		s.announcing = false
 		s.mu.Unlock()
 		if !announcing {
-			s.wait(ctx, shareDelay)
+			sleep(ctx, s.Clock, shareDelay, nil)
 		}
 		s.mu.Lock()
 		suspicions, overflowed := slices.Collect(maps.Values(s.pending)), s.overflowed
@@ -129,7 +122,7 @@
 	addresses := s.Addresses()
 	for attempt := range shareAttempts {
 		if attempt > 0 {
-			s.wait(ctx, retryDelay)
+			sleep(ctx, s.Clock, retryDelay, nil)
 		}
 		if addresses = s.sendOnce(ctx, addresses, suspicions); len(addresses) == 0 || ctx.Err() != nil {
 			return
@@ -163,17 +156,3 @@
 	_ = group.Wait()
 	return failed
 }
-
-func (s *Sharer) wait(ctx context.Context, pause time.Duration) {
-	timer := s.Clock.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-	case <-ctx.Done():
-	}
-}
-
-func (s *Sharer) wakeChannel() chan struct{} {
-	s.wakeOnce.Do(func() { s.wake = make(chan struct{}, 1) })
-	return s.wake
-}
