--- a/internal/dcexchange/dcexchange.go
+++ b/internal/dcexchange/dcexchange.go
@@ -1,16 +1,19 @@
 // Package dcexchange decides when two hosts exchange what they know and what the other
-// one may lack. An exchange is due when a host is first seen, when it runs a new
-// process, when it comes back into the list of hosts, and when something could not be
-// sent to it. Between hosts that stay in touch none is due. The package opens no sockets
-// and reads no clock.
+// one may lack. That is when a host is first seen, when it runs a new process, when it
+// comes back into the list of hosts, and when something could not be sent to it. Of two
+// hosts that come into touch, one that knows something makes the call; if neither does,
+// there is nothing to exchange. A host that has just started also asks a few others, so
+// that it soon knows what the running ones do. Between hosts that stay in touch no
+// exchange is due. The package opens no sockets and reads no clock.
 //
 // It answers the load of a deployment whose hosts all start at once, or are restarted in
-// turn: of two hosts, one makes the call, and those that do not answer are tried less
-// and less often.
+// turn: only hosts that have something to tell call all others, and those that do not
+// answer are tried less and less often.
 package dcexchange
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -25,6 +28,9 @@
 	// exchange that failed.
 	minRetryPause = 500 * time.Millisecond
 	MaxRetryPause = 2 * time.Second
+	// firstAsks is the number of hosts that a host asks after its start although it has
+	// nothing to tell.
+	firstAsks = 3
 	// maxCallers limits the hosts that are remembered before the list has them.
 	maxCallers = 4096
 )
@@ -63,12 +69,16 @@
 type Plan struct {
 	// Self is the ID of this host and the time at which its process started.
 	Self Peer
+	// Random selects the hosts that this one asks after its start.
+	Random *rand.Rand
 
 	// peers holds the known hosts by address.
 	peers map[string]*peer
 	// callers holds the start of the processes that have exchanged with this one before
 	// the list had them, by address.
 	callers map[string]time.Time
+	// met counts the exchanges that were complete.
+	met int
 }
 
 type peer struct {
@@ -77,9 +87,12 @@
 	// process is the start of the process of the last complete exchange, which the list
 	// may not have yet.
 	process time.Time
-	// complete is set if both hosts have what the other one knew at the time of the
-	// last exchange, and since then have been sent what was new.
+	// complete is set if this host has nothing to tell: the other one has what this one
+	// knew when they came into touch, and since then has been sent what was new.
 	complete bool
+	// asked is set if this host asks the other one after its start, or has exchanged with
+	// it.
+	asked bool
 	// revision increases when the host misses something or is in touch again. A call
 	// that began before does not complete the exchange.
 	revision int
@@ -90,24 +103,47 @@
 	failures int
 }
 
-// Update sets the hosts that are known. Those that are not among them are dropped.
-func (p *Plan) Update(peers []Peer, now time.Time) {
+// Update sets the other hosts. Those that are not among them are dropped. knows is set if
+// this host knows something that others may lack.
+func (p *Plan) Update(peers []Peer, knows bool, now time.Time) {
 	known := make(map[string]*peer, len(peers))
 	for _, seen := range peers {
 		held := p.peers[seen.Address]
-		if held == nil {
-			held = &peer{dueAt: p.firstCall(&seen, now)}
+		switch {
+		case held == nil:
+			held = &peer{complete: !knows, dueAt: p.firstCall(&seen, now)}
 			if process, ok := p.callers[seen.Address]; ok && process.Equal(seen.Started) {
-				held.complete, held.process = true, process
+				held.complete, held.asked, held.process = true, true, process
 			}
 			delete(p.callers, seen.Address)
-		} else if !held.isSameContact(&seen) && !held.hasMet(&seen) {
+		case knows && !held.isSameContact(&seen) && !held.hasMet(&seen):
 			held.miss(p.firstCall(&seen, now))
 		}
 		held.Peer = seen
 		known[seen.Address] = held
 	}
 	p.peers = known
+	p.ask(now)
+}
+
+// ask selects hosts to ask until firstAsks exchanges have been complete.
+func (p *Plan) ask(now time.Time) {
+	missing := firstAsks - p.met
+	var candidates []*peer
+	for _, held := range p.peers {
+		switch {
+		case !held.complete && held.failures == 0:
+			missing--
+		case held.complete && !held.asked:
+			candidates = append(candidates, held)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b *peer) int { return cmp.Compare(a.Address, b.Address) })
+	for ; missing > 0 && len(candidates) > 0; missing-- {
+		index := p.Random.IntN(len(candidates))
+		candidates[index].asked, candidates[index].complete, candidates[index].dueAt = true, false, now
+		candidates = slices.Delete(candidates, index, index+1)
+	}
 }
 
 // hasMet reports whether the list only shows now the process of the last exchange.
@@ -186,20 +222,21 @@
 		return
 	}
 	held.running = false
-	held.finish(call, started, now)
+	p.finish(held, call, started, now)
 }
 
 // finish completes an exchange with a process unless the host has missed something since
 // it began, or has started a newer process.
-func (p *peer) finish(call Call, started, now time.Time) {
+func (p *Plan) finish(held *peer, call Call, started, now time.Time) {
 	if started.IsZero() {
-		started = p.Started
+		started = held.Started
 	}
-	if p.revision != call.revision || started.Before(p.Started) {
-		p.dueAt = now.Add(minRetryPause)
+	if held.revision != call.revision || started.Before(held.Started) {
+		held.dueAt = now.Add(minRetryPause)
 		return
 	}
-	p.complete, p.process, p.failures = true, started, 0
+	held.complete, held.asked, held.process, held.failures = true, true, started, 0
+	p.met++
 }
 
 // Fail ends an exchange that this host began and the other one did not answer.
@@ -234,17 +271,11 @@
 			p.callers = make(map[string]time.Time)
 		}
 		p.callers[call.Address] = started
-	case held != nil && !held.complete:
-		held.finish(call, started, now)
+		p.met++
+	case held != nil:
+		p.finish(held, call, started, now)
 	}
 }
 
 // Started reports whether this host has exchanged with any other one, or knows none.
-func (p *Plan) Started() bool {
-	for _, held := range p.peers {
-		if held.complete {
-			return true
-		}
-	}
-	return len(p.peers) == 0
-}
+func (p *Plan) Started() bool { return p.met > 0 || len(p.peers) == 0 }
--- a/internal/dcrelay/exchange.go
+++ b/internal/dcrelay/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -58,7 +59,8 @@
 	Clock      clockwork.Clock
 	Log        *zap.Logger
 	// Scope is the scope of the metrics.
-	Scope tally.Scope
+	Scope  tally.Scope
+	Random *rand.Rand
 
 	mu   sync.Mutex
 	plan dcexchange.Plan
@@ -129,6 +131,7 @@
 func (e *Exchanger) Run(ctx context.Context) error {
 	self := e.Host()
 	e.mu.Lock()
+	e.plan.Random = e.Random
 	e.plan.Self = dcexchange.Peer{ID: dcid.HostID(self.GetHostId()), Started: self.GetStarted().AsTime()}
 	e.listChanged = true
 	e.mu.Unlock()
@@ -164,14 +167,17 @@
 	e.mu.Unlock()
 	var peers []dcexchange.Peer
 	synced := false
+	knows := false
 	if changed {
 		peers, synced = e.knownPeers()
+		suspicions, _ := e.Suspicions("")
+		knows = len(suspicions) > 0
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Clock.Now()
 	if changed {
-		e.plan.Update(peers, now)
+		e.plan.Update(peers, knows, now)
 	}
 	if synced && e.listRead.IsZero() {
 		e.listRead = now
--- a/internal/dcrelay/suspicions_test.go
+++ b/internal/dcrelay/suspicions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -62,6 +63,7 @@
 		Clock:      clockwork.NewRealClock(),
 		Log:        zap.NewNop(),
 		Scope:      tally.NoopScope,
+		Random:     rand.New(rand.NewPCG(1, 0)),
 	}
 	sharer := &Sharer{
 		HTTP:      listener.Client(),
--- a/internal/dcroster/dcroster.go
+++ b/internal/dcroster/dcroster.go
@@ -72,6 +72,9 @@
 	// OnChange is called when the list of hosts or the result of StaleConnections
 	// has changed. It may be nil.
 	OnChange func()
+	// OnReturn is called when a host runs a new process, or came into the list again
+	// before its removal was final. The list is as it was then. It may be nil.
+	OnReturn func()
 	// MaxWhole returns the number of hosts up to which callers use all of them. With
 	// nil, they always do.
 	MaxWhole func() int
@@ -264,9 +267,11 @@
 		other = &peer{arrival: r.nextArrival()}
 		r.peers[id] = other
 	}
-	same := proto.Equal(other.record, host)
-	if listed && other.removalPending {
-		other.removalPending, same = false, false
+	same := isSameBesidesStart(other.record, host)
+	returned := listed && other.removalPending
+	restarted := other.record != nil && !proto.Equal(other.record.GetStarted(), host.GetStarted())
+	if returned {
+		other.removalPending = false
 		other.arrival = r.nextArrival()
 	}
 	if other.record.GetState() == hostv1.State_STATE_LEAVING && host.GetState() == hostv1.State_STATE_SERVING {
@@ -284,6 +289,9 @@
 		other.lastSeen = r.Clock.Now()
 	}
 	r.mu.Unlock()
+	if (returned || restarted) && r.OnReturn != nil {
+		r.OnReturn()
+	}
 	if same {
 		return
 	}
--- a/internal/dcroster/exchange_peers.go
+++ b/internal/dcroster/exchange_peers.go
@@ -1,6 +1,10 @@
 package dcroster
 
 import (
+	"google.golang.org/protobuf/proto"
+
+	hostv1 "github.com/dandelioncart/dandelioncart/internal/gen/dandelioncart/host/v1"
+
 	"github.com/dandelioncart/dandelioncart/internal/dcexchange"
 	"github.com/dandelioncart/dandelioncart/internal/dcid"
 )
@@ -11,6 +15,17 @@
 	return r.arrivals
 }
 
+// isSameBesidesStart reports whether two records differ only in the start of the process,
+// if at all.
+func isSameBesidesStart(a, b *hostv1.Record) bool {
+	if a == nil || b == nil || proto.Equal(a.GetStarted(), b.GetStarted()) {
+		return proto.Equal(a, b)
+	}
+	other := proto.CloneOf(b)
+	other.Started = a.GetStarted()
+	return proto.Equal(a, other)
+}
+
 // ExchangePeers returns the other hosts for the plan of exchanges, and whether the list
 // has been read.
 func (r *Roster) ExchangePeers() (peers []dcexchange.Peer, synced bool) {
