--- a/internal/dcexchange/dcexchange.go
+++ b/internal/dcexchange/dcexchange.go
@@ -77,8 +77,8 @@
 	// callers holds the start of the processes that have exchanged with this one before
 	// the list had them, by address.
 	callers map[string]time.Time
-	// met counts the exchanges that were complete.
-	met int
+	// met counts the exchanges that were complete, and revisions counts those of peers.
+	met, revisions int
 }
 
 type peer struct {
@@ -93,8 +93,8 @@
 	// asked is set if this host asks the other one after its start, or has exchanged with
 	// it.
 	asked bool
-	// revision increases when the host misses something or is in touch again. A call
-	// that began before does not complete the exchange.
+	// revision is a new one when the host comes into the list, misses something or is in
+	// touch again. A call that began before does not complete the exchange.
 	revision int
 	// dueAt is the time of the next exchange unless complete is set.
 	dueAt time.Time
@@ -111,13 +111,13 @@
 		held := p.peers[seen.Address]
 		switch {
 		case held == nil:
-			held = &peer{complete: !knows, dueAt: p.firstCall(&seen, now)}
+			held = &peer{complete: !knows, revision: p.nextRevision(), dueAt: p.firstCall(&seen, now)}
 			if process, ok := p.callers[seen.Address]; ok && process.Equal(seen.Started) {
 				held.complete, held.asked, held.process = true, true, process
 			}
 			delete(p.callers, seen.Address)
 		case knows && !held.isSameContact(&seen) && !held.hasMet(&seen):
-			held.miss(p.firstCall(&seen, now))
+			p.miss(held, p.firstCall(&seen, now))
 		}
 		held.Peer = seen
 		known[seen.Address] = held
@@ -162,18 +162,24 @@
 	return now
 }
 
-func (p *peer) miss(dueAt time.Time) {
-	p.revision++
-	if p.complete || dueAt.Before(p.dueAt) {
-		p.dueAt = dueAt
+// miss makes an exchange due with a host that may lack something.
+func (p *Plan) miss(held *peer, dueAt time.Time) {
+	held.revision = p.nextRevision()
+	if held.complete || dueAt.Before(held.dueAt) {
+		held.dueAt = dueAt
 	}
-	p.complete, p.failures = false, 0
+	held.complete, held.failures = false, 0
+}
+
+func (p *Plan) nextRevision() int {
+	p.revisions++
+	return p.revisions
 }
 
 // Missed is called when something could not be sent to a host.
 func (p *Plan) Missed(address string, now time.Time) {
 	if held := p.peers[address]; held != nil {
-		held.miss(now.Add(minRetryPause))
+		p.miss(held, now.Add(minRetryPause))
 	}
 }
 
--- a/internal/dcexchange/dcexchange_test.go
+++ b/internal/dcexchange/dcexchange_test.go
@@ -130,6 +130,22 @@
 	}
 }
 
+// TestReturnDuringExchange guards against an exchange that counts as complete although the
+// host was gone from the list, and sent nothing, while the call ran.
+func TestReturnDuringExchange(t *testing.T) {
+	plan := &Plan{Self: Peer{ID: "h5", Started: at(0)}, Random: newRandom()}
+	peers := []Peer{{ID: "h1", Address: "a", Started: at(-1000), Arrival: 1}}
+	plan.Update(peers, true, at(0))
+	call := plan.Due(at(0))[0]
+	plan.Update(nil, true, at(100))
+	peers[0].Arrival = 2
+	plan.Update(peers, true, at(200))
+	plan.Complete(call, peers[0].Started, at(300))
+	if calls := plan.Due(at(800)); len(calls) != 1 {
+		t.Errorf("calls %v, want one more", calls)
+	}
+}
+
 // TestRetries guards against calls without a pause to hosts that do not answer, against
 // a host that is given up, and against such hosts being called before others.
 func TestRetries(t *testing.T) {
