--- a/internal/dcexchange/dcexchange.go
+++ b/internal/dcexchange/dcexchange.go
@@ -27,7 +27,7 @@
 	// minRetryPause and MaxRetryPause are the shortest and the longest pause after an
 	// exchange that failed.
 	minRetryPause = 500 * time.Millisecond
-	MaxRetryPause = 2 * time.Second
+	MaxRetryPause = 1600 * time.Millisecond
 	// firstAsks is the number of hosts that a host asks after its start although it has
 	// nothing to tell.
 	firstAsks = 3
--- a/internal/dcrelay/exchange.go
+++ b/internal/dcrelay/exchange.go
@@ -25,9 +25,10 @@
 )
 
 const (
-	// ExchangeBound is the time within which two hosts that reach each other again
-	// have exchanged what they know: a pause between two attempts, and a call.
-	ExchangeBound = dcexchange.MaxRetryPause + callTimeout
+	// ExchangeBound is the time within which two hosts that reach each other again have
+	// exchanged what they know: a call that had begun before and fails, a pause, and a
+	// call.
+	ExchangeBound = callTimeout + dcexchange.MaxRetryPause + callTimeout
 	// settleTime limits how long Settled waits for the first exchange after the list of
 	// hosts has been read. In that time one attempt can fail.
 	settleTime = time.Second
